--- a/src/connection/orderDoor.ts
+++ b/src/connection/orderDoor.ts
@@ -3,7 +3,7 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
 import { err, ok, type Result } from 'neverthrow';
-import type { CallerOrder, Ending } from '../request/ferry.js';
+import type { CallerOrder, Ending } from '../request/forwarder.js';
 import { Defect } from '../process/defect.js';
 import { METHODS } from '../version/manifest.js';
 import { Headers } from './headers.js';
--- a/src/programs/switchboard.ts
+++ b/src/programs/switchboard.ts
@@ -26,7 +26,7 @@
 import { Traces } from '../process/traces.js';
 import type { Target } from '../version/matcher.js';
 import { Manifest } from '../version/manifest.js';
-import { Ferry } from '../request/ferry.js';
+import { Forwarder } from '../request/forwarder.js';
 import { Hosting } from '../request/hosting.js';
 
 interface SwitchboardSettings extends PlaceSettings {
@@ -74,7 +74,7 @@
   const allowance: Allowance = new Allowance(clock, () => delivery.allowanceRules(), () => shares.part());
   const hosting = new Hosting(frame, endpoints, delivery);
   const traces = new Traces(settings.tracesKept);
-  const ferry = new Ferry(frame, { delivery, picker, book, allowance, hosting, wire, traces });
+  const forwarder = new Forwarder(frame, { delivery, picker, book, allowance, hosting, wire, traces });
   const reporter = new Reporter(frame, membership, wire, endpoints, book, () => delivery.serial());
   const beatsTurnedAway = new Counter({ name: 'opalstair_beats_turned_away_total', help: 'Announcements that were malformed or from elsewhere', registers: [frame.metrics] });
   new Gauge({ name: 'opalstair_allowance_tokens', help: 'Repeats left at each branch of the tree', labelNames: ['branch'], registers: [frame.metrics], collect() { allowance.views().forEach(({ branch, tokens }) => this.set({ branch }, tokens)); } });
@@ -92,14 +92,14 @@
   admin.get('/v1/traces/:order', (context) => {
     const trace = traces.find(context.req.param('order') as OrderId);
     if (trace !== null) return context.json(trace);
-    return ferry.hasCarried(context.req.param('order')) ? problem(context, 404, 'trace-expired', 'expired: this order was carried here, but its record has been dropped') : problem(context, 404, 'no-such-order', 'unknown: no such order was carried here');
+    return forwarder.hasCarried(context.req.param('order')) ? problem(context, 404, 'trace-expired', 'expired: this order was carried here, but its record has been dropped') : problem(context, 404, 'no-such-order', 'unknown: no such order was carried here');
   });
   admin.post('/v1/explain', async (context) => {
     const asked = explainShape.validate(await context.req.json().catch(() => null), { convert: false });
-    return asked.error === undefined ? context.json(ferry.explain(asked.value as Target)) : problem(context, 400, 'bad-request', asked.error.message);
+    return asked.error === undefined ? context.json(forwarder.explain(asked.value as Target)) : problem(context, 400, 'bad-request', asked.error.message);
   });
   const orders = orderApp({
-    carry: (order) => ferry.carry(order), isClosing: () => closing, ordersAtOnce: settings.ordersAtOnce,
+    carry: (order) => forwarder.carry(order), isClosing: () => closing, ordersAtOnce: settings.ordersAtOnce,
     failed: (error) => log.error({ event: 'internal-defect', error: error.stack }),
   });
   const beats = beatApp({
@@ -140,6 +140,6 @@
 };
 
 await runProgram<SwitchboardSettings>({
-  name: 'switchboard', about: 'the proxy of one machine: takes orders, ferries them to endpoints, hosts the endpoints of its machine', table,
+  name: 'switchboard', about: 'the proxy of one machine: takes orders, forwards them to endpoints, hosts the endpoints of its machine', table,
   start: (frame) => new ResultAsync(start(frame)),
 });
--- a/src/request/ferry.ts
+++ b/src/request/forwarder.ts
@@ -35,7 +35,7 @@
 const LOOK_UP_MS = 1000;
 const LOOK_UP_REST_MS = 50;
 
-export interface FerryParts {
+export interface ForwarderParts {
   readonly delivery: Delivery;
   readonly picker: Picker;
   readonly book: OutcomeBook;
@@ -56,14 +56,14 @@
 }
 
 /** Carries out what the owner of an order commands. */
-export class Ferry {
+export class Forwarder {
   private orderCount = 0;
   private hopCount = 0;
   private readonly endings: Counter<'binding' | 'ending'>;
   private readonly hops: Counter<'service' | 'kind'>;
   private readonly times: Histogram<'binding'>;
 
-  constructor(private readonly frame: Frame<PlaceSettings>, private readonly parts: FerryParts) {
+  constructor(private readonly frame: Frame<PlaceSettings>, private readonly parts: ForwarderParts) {
     const registers = [frame.metrics];
     this.endings = new Counter({ name: 'opalstair_orders_total', help: 'Orders by binding and ending', labelNames: ['binding', 'ending'], registers });
     this.hops = new Counter({ name: 'opalstair_hops_total', help: 'Rounds begun by service: first ones, those after proof that nothing ran, and repeats', labelNames: ['service', 'kind'], registers });
@@ -114,7 +114,7 @@
         case 'answer': return { kind: 'answer', order: trip.order, answer: command.answer };
         case 'tell': return { ...command, kind: 'own', order: trip.order };
         case 'pick': command = owner.on(this.pick(trip, command.tried, command.round)); break;
-        case 'ferry': command = owner.on(await this.ferry(trip, command.row)); break;
+        case 'forward': command = owner.on(await this.forward(trip, command.row)); break;
         case 'lookUp': command = owner.on(await this.lookUp(trip, command.row)); break;
         case 'awaitSerial': {
           const reached = await this.parts.delivery.reach(command.serial);
@@ -143,7 +143,7 @@
     return { kind: 'picked', row: pick.chosen.row };
   }
 
-  private async ferry(trip: Trip, row: EndpointRow): Promise<OrderEvent> {
+  private async forward(trip: Trip, row: EndpointRow): Promise<OrderEvent> {
     this.hopCount += 1;
     trip.hop = this.hopCount;
     const { method, url, headers, body } = trip.given;
--- a/src/request/orderOwner.ts
+++ b/src/request/orderOwner.ts
@@ -31,7 +31,7 @@
 /** What the owner wants done next: exactly one thing at a time, until it answers. */
 export type OrderCommand =
   | { readonly kind: 'pick'; readonly tried: readonly EndpointRow[]; readonly round: RoundKind }
-  | { readonly kind: 'ferry'; readonly row: EndpointRow; readonly round: number }
+  | { readonly kind: 'forward'; readonly row: EndpointRow; readonly round: number }
   | { readonly kind: 'lookUp'; readonly row: EndpointRow }
   | { readonly kind: 'awaitSerial'; readonly serial: Serial }
   /** Match the order anew: the manifest has moved on. */
@@ -79,7 +79,7 @@
       case 'picked':
         this.chosenRow = event.row;
         this.rounds = [...this.rounds, { row: event.row, outcome: 'running', detail: '', mayHaveRun: true }];
-        return { kind: 'ferry', row: event.row, round: this.rounds.length };
+        return { kind: 'forward', row: event.row, round: this.rounds.length };
       case 'nonePicked': return this.giveUp();
       case 'noAllowance': return this.giveUp();
       case 'verdict': return this.onVerdict(event.verdict);
