--- a/src/connection/hopCalls.ts
+++ b/src/connection/hopCalls.ts
@@ -31,7 +31,7 @@
   | 'other-boot' | 'not-here' | 'stale-beat' | 'leaving' | 'other-instance' | 'other-service' | 'binding-not-allowed' | 'manifest-behind'
   | 'full' | 'stopping' | 'cutoff-too-near' | 'fenced';
 
-export interface Occupancy {
+export interface Load {
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
@@ -45,10 +45,10 @@
 
 /** What came of one round, apart from the endpoint's own status. */
 export type HopVerdict =
-  | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly occupancy: Occupancy }
-  | { readonly kind: 'turnedAway'; readonly cause: TurnAwayCause; readonly serial: Serial; readonly occupancy: Occupancy }
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly load: Load }
+  | { readonly kind: 'turnedAway'; readonly cause: TurnAwayCause; readonly serial: Serial; readonly load: Load }
   /** The endpoint failed; `mayHaveRun` is false only when nothing of the order was sent to it. */
-  | { readonly kind: 'defect'; readonly defect: string; readonly detail: string; readonly mayHaveRun: boolean; readonly occupancy: Occupancy };
+  | { readonly kind: 'defect'; readonly defect: string; readonly detail: string; readonly mayHaveRun: boolean; readonly load: Load };
 
 /** What a host says of a hop that its caller lost sight of. */
 export type VerdictAnswer = HopVerdict | { readonly kind: 'neverSeen' } | { readonly kind: 'forgotten' } | { readonly kind: 'otherBoot' };
@@ -72,11 +72,11 @@
   order: text, caller: text, callerBoot: text, hop: whole, hostBoot: text, service: text, endpoint: text, instance: text, binding: text, serial: whole,
   leftMs: Joi.number().required(), sentAt: Joi.number().required(), method: text, url: Joi.string().max(65_536).required(), headers: rawHeaders, body: bytes,
 });
-const occupancyShape = Joi.object({ running: whole, waiting: whole, slots: whole });
+const loadShape = Joi.object({ running: whole, waiting: whole, slots: whole });
 export const verdictShape = Joi.object({
   kind: Joi.string().valid('answered', 'turnedAway', 'defect', 'neverSeen', 'forgotten', 'otherBoot').required(),
   answer: Joi.object({ status: Joi.number().integer().min(200).max(599).required(), headers: rawHeaders, body: bytes }),
-  cause: Joi.string(), serial: Joi.number(), defect: Joi.string(), detail: Joi.string().allow(''), mayHaveRun: Joi.boolean(), occupancy: occupancyShape,
+  cause: Joi.string(), serial: Joi.number(), defect: Joi.string(), detail: Joi.string().allow(''), mayHaveRun: Joi.boolean(), load: loadShape,
 });
 export const verdictAskShape = Joi.object({ callerBoot: text, hop: whole, hostBoot: text, leftMs: Joi.number().required() });
 export const probeAskShape = Joi.object({ service: text, endpoint: text, instance: text });
--- a/src/connection/wire.ts
+++ b/src/connection/wire.ts
@@ -9,7 +9,7 @@
 const CLUSTER_HEADER = 'opalstair-cluster';
 const FORMAT_HEADER = 'opalstair-format';
 /** The format of the messages between processes: raised when a process of the former release could misread one. */
-export const WIRE_FORMAT = 1;
+export const WIRE_FORMAT = 2;
 const BSON_TYPE = 'application/bson';
 /** The most that one message between processes may hold: a whole order or answer and its envelope. */
 export const WIRE_LIMIT = 17 * 1024 * 1024;
--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
-import type { Occupancy, TurnAwayCause } from '../connection/hopCalls.js';
+import type { Load, TurnAwayCause } from '../connection/hopCalls.js';
 import type { Address, EndpointId, InstanceId, Instant, ServiceName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
 import { Defect } from './defect.js';
@@ -152,7 +152,7 @@
     return [...this.standing.values()].filter((spot) => this.isProven(spot, now)).map((spot) => ({ ...spot.said, leaving: spot.leaving }));
   }
 
-  occupancy(id: EndpointId): Occupancy {
+  load(id: EndpointId): Load {
     const spot = this.standing.get(id);
     return spot === undefined ? { running: 0, waiting: 0, slots: 0 } : { running: spot.running, waiting: spot.waiters.length, slots: spot.said.slots };
   }
--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -1,5 +1,5 @@
 import { Map as Table } from 'immutable';
-import type { Occupancy } from '../connection/hopCalls.js';
+import type { Load } from '../connection/hopCalls.js';
 import { MaskDigest, type EndpointRow } from '../version/digests.js';
 import type { BootId, Instant, NodeName, ServiceName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
@@ -7,7 +7,7 @@
 
 const PATH_REST_MS = 1000;
 const FULL_PART = 0.8;
-const OCCUPANCY_FRESH_MS = 1000;
+const LOAD_FRESH_MS = 1000;
 
 /** Why an endpoint was not picked. */
 export type PassedOver = 'tried' | 'leaving' | 'in a maintenance window' | 'masked for all' | 'masked here' | 'path rests' | 'other zone' | 'less free' | 'not drawn';
@@ -34,7 +34,7 @@
 }
 
 interface Heard {
-  readonly occupancy: Occupancy;
+  readonly load: Load;
   readonly at: Instant;
 }
 
@@ -85,9 +85,9 @@
     this.shift(row, 1);
   }
 
-  ended(row: EndpointRow, occupancy: Occupancy | null): void {
+  ended(row: EndpointRow, load: Load | null): void {
     this.shift(row, -1);
-    if (occupancy !== null && occupancy.slots > 0) this.heard = this.heard.set(keyOf(row), { occupancy, at: this.clock.now() });
+    if (load !== null && load.slots > 0) this.heard = this.heard.set(keyOf(row), { load, at: this.clock.now() });
   }
 
   /** The way to a machine broke: others are tried first for a while. */
@@ -125,7 +125,7 @@
   private fullness(row: EndpointRow, now: Instant): number {
     const own = this.inFlight.get(keyOf(row)) ?? 0;
     const heard = this.heard.get(keyOf(row));
-    const told = heard !== undefined && now - heard.at < OCCUPANCY_FRESH_MS ? heard.occupancy.running + heard.occupancy.waiting : 0;
+    const told = heard !== undefined && now - heard.at < LOAD_FRESH_MS ? heard.load.running + heard.load.waiting : 0;
     return Math.max(own, told) / Math.max(1, row.slots);
   }
 
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -154,7 +154,7 @@
     this.parts.picker.started(row);
     const event = row.nodeBoot === this.frame.boot
       ? { kind: 'verdict' as const, verdict: await this.parts.hosting.run(hopOrder) } : await this.send(hopOrder, row);
-    this.parts.picker.ended(row, event.kind === 'verdict' ? event.verdict.occupancy : null);
+    this.parts.picker.ended(row, event.kind === 'verdict' ? event.verdict.load : null);
     this.count(row, event);
     return event;
   }
@@ -173,7 +173,7 @@
       const ask = { callerBoot: this.frame.boot, hop: trip.hop, hostBoot: row.nodeBoot, leftMs };
       const answer: Result<VerdictAnswer, WireDefect> = await this.parts.wire.call<VerdictAnswer>(row.hop, HopPath.verdict, ask, Math.min(leftMs + HOP_GRACE_MS, LOOK_UP_MS), verdictShape);
       if (answer.isOk()) {
-        if ('occupancy' in answer.value) this.count(row, { kind: 'verdict', verdict: answer.value });
+        if ('load' in answer.value) this.count(row, { kind: 'verdict', verdict: answer.value });
         return { kind: 'lookedUp', answer: answer.value };
       }
       lastWord = answer.error.describe();
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -47,7 +47,7 @@
       case 'known': return opening.verdict;
       case 'fenced': return this.turnAway(order, 'fenced');
       case 'tooOld':
-        return { kind: 'defect', defect: 'forgotten', detail: 'this hop may have run before', mayHaveRun: true, occupancy: this.endpoints.occupancy(order.endpoint) };
+        return { kind: 'defect', defect: 'forgotten', detail: 'this hop may have run before', mayHaveRun: true, load: this.endpoints.load(order.endpoint) };
       case 'fresh': {
         this.runningOrders += 1;
         const verdict = await this.attempt(order, arrival);
@@ -99,15 +99,15 @@
     seat.value.leave();
     if (answer.isErr() && answer.error.kind === 'seat-lost') return this.turnAway(order, answer.error.turnedAwayFor);
     if (answer.isErr() && answer.error.kind === 'no-connection') this.endpoints.doubt(order.endpoint, order.instance);
-    const occupancy = this.endpoints.occupancy(order.endpoint);
+    const load = this.endpoints.load(order.endpoint);
     return answer.match<HopVerdict>(
-      (whole) => ({ kind: 'answered', answer: whole, occupancy }),
-      (defect) => ({ kind: 'defect', defect: defect.kind, detail: defect.describe(), mayHaveRun: defect.kind !== 'no-connection', occupancy }),
+      (whole) => ({ kind: 'answered', answer: whole, load }),
+      (defect) => ({ kind: 'defect', defect: defect.kind, detail: defect.describe(), mayHaveRun: defect.kind !== 'no-connection', load }),
     );
   }
 
   private turnAway(order: HopOrder, cause: TurnAwayCause): HopVerdict {
     this.turnAways.inc({ cause });
-    return { kind: 'turnedAway', cause, serial: this.manifest.serial(), occupancy: this.endpoints.occupancy(order.endpoint) };
+    return { kind: 'turnedAway', cause, serial: this.manifest.serial(), load: this.endpoints.load(order.endpoint) };
   }
 }
