Carry messages between processes over one kept link each, by the ws library

BSON messages now go over a kept WebSocket link to each process, many at once; messages that every request sends are checked by a plain shape; callers' requests are read below hono. The library's own process metrics kept a 10 ms timer; they are read when asked for.

--- a/src/connection/admin.ts
+++ b/src/connection/admin.ts
@@ -16,9 +16,9 @@
 };
 
 /** A server for other processes of the mesh; what is malformed or foreign is counted and logged. */
-export const wireServer = (frame: Frame<PlaceSettings>, app: Hono): WireServer => {
+export const wireServer = (frame: Frame<PlaceSettings>): WireServer => {
   const turnedAway = new Counter({ name: 'opalstair_wire_turned_away_total', help: 'Messages that were malformed or foreign', labelNames: ['path'], registers: [frame.metrics] });
-  return new WireServer(app, frame.settings.cluster, {
+  return new WireServer(frame.settings.cluster, {
     turnedAway: (path, reason) => {
       turnedAway.inc({ path });
       frame.log.warn({ event: 'message-turned-away', path, reason });
--- a/src/connection/endpointExchange.ts
+++ b/src/connection/endpointExchange.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { Defect } from '../process/defect.js';
-import type { TurnAwayCause, WholeAnswer } from './hopCalls.js';
+import { HeaderText, type TurnAwayCause, type WholeAnswer } from './hopCalls.js';
 import { EndpointLinks } from './endpointLinks.js';
 import { Headers } from './headers.js';
 import type { AnswerFacts } from './speech.js';
@@ -80,7 +80,7 @@
   if (facts.isOwn === true && facts.fault === null) EndpointLinks.prove(socket);
   if (facts.isNotRun) return err(new EndpointRefusal(status));
   if (facts.fault !== null) return err(new BrokenAnswer(facts.fault));
-  return ok({ status, headers: answer.rawHeaders, body });
+  return ok({ status, headers: HeaderText.of(answer.rawHeaders), body });
 };
 
 const exchange = (order: EndpointOrder): Promise<Result<WholeAnswer, EndpointDefect>> => new Promise((settle) => {
--- a/src/connection/hopCalls.ts
+++ b/src/connection/hopCalls.ts
@@ -1,5 +1,5 @@
-import Joi from 'joi';
 import type { BindingId, BootId, EndpointId, InstanceId, NodeName, OrderId, Serial, ServiceName } from '../process/brands.js';
+import { plainShape } from './shapes.js';
 
 /** The calls that a switchboard takes from other processes. */
 export const HopPath = { order: '/hop/order', verdict: '/hop/verdict', probe: '/hop/probe' } as const;
@@ -26,7 +26,8 @@
   readonly sentAt: number;
   readonly method: string;
   readonly url: string;
-  readonly headers: readonly string[];
+  /** As `HeaderText` writes them. */
+  readonly headers: string;
   readonly body: Uint8Array;
 }
 
@@ -45,7 +46,8 @@
 
 export interface WholeAnswer {
   readonly status: number;
-  readonly headers: readonly string[];
+  /** As `HeaderText` writes them. */
+  readonly headers: string;
   readonly body: Uint8Array;
 }
 
@@ -69,21 +71,22 @@
 export interface ProbeAsk { readonly service: ServiceName; readonly endpoint: EndpointId; readonly instance: InstanceId }
 export interface ProbeAnswer { readonly serves: boolean }
 
-const text = Joi.string().max(256).required();
-const whole = Joi.number().integer().min(0).required();
-const bytes = Joi.binary().required();
-const rawHeaders = Joi.array().items(Joi.string().allow('')).max(4000).required();
+const text = 'text' as const;
+const whole = 'whole' as const;
 
-export const hopOrderShape = Joi.object({
+export const hopOrderShape = plainShape({
   order: text, caller: text, callerBoot: text, hop: whole, hostBoot: text, service: text, endpoint: text, instance: text, binding: text, serial: whole,
-  request: text, leftMs: Joi.number().required(), heldMs: Joi.number().min(0).required(), sentAt: Joi.number().required(), method: text, url: Joi.string().max(65_536).required(), headers: rawHeaders, body: bytes,
+  request: text, leftMs: 'number', heldMs: 'number', sentAt: 'number', method: text, url: text, headers: text, body: 'bytes',
 });
-const loadShape = Joi.object({ running: whole, waiting: whole, slots: whole, meanMs: Joi.number().min(0).required() });
-export const verdictShape = Joi.object({
-  kind: Joi.string().valid('answered', 'turnedAway', 'defect', 'neverSeen', 'forgotten', 'otherBoot').required(),
-  answer: Joi.object({ status: Joi.number().integer().min(200).max(599).required(), headers: rawHeaders, body: bytes }),
-  cause: Joi.string(), serial: Joi.number(), defect: Joi.string(), detail: Joi.string().allow(''), mayHaveRun: Joi.boolean(), load: loadShape,
-});
-export const verdictAskShape = Joi.object({ callerBoot: text, hop: whole, hostBoot: text, leftMs: Joi.number().required() });
-export const probeAskShape = Joi.object({ service: text, endpoint: text, instance: text });
-export const probeAnswerShape = Joi.object({ serves: Joi.boolean().required() });
+const loadShape = plainShape({ running: whole, waiting: whole, slots: whole, meanMs: 'number' });
+const answerShape = plainShape({ status: whole, headers: text, body: 'bytes' });
+export const verdictShape = plainShape({ kind: text }, { answer: answerShape, cause: text, serial: 'number', defect: text, detail: text, mayHaveRun: 'boolean', load: loadShape });
+export const verdictAskShape = plainShape({ callerBoot: text, hop: whole, hostBoot: text, leftMs: 'number' });
+export const probeAskShape = plainShape({ service: text, endpoint: text, instance: text });
+export const probeAnswerShape = plainShape({ serves: 'boolean' });
+
+/** Headers on their way between processes: no header holds a line feed, so one stands between names and values. */
+export const HeaderText = {
+  of: (raw: readonly string[]): string => raw.join('\n'),
+  read: (text: string): readonly string[] => (text === '' ? [] : text.split('\n')),
+} as const;
--- a/src/connection/listener.ts
+++ b/src/connection/listener.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http';
+import { createServer, type RequestListener, type Server, type ServerOptions } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { createAdaptorServer } from '@hono/node-server';
 import type { Hono } from 'hono';
@@ -6,19 +6,38 @@
 import { Address } from '../process/brands.js';
 import { Defect } from '../process/defect.js';
 
+import type { WireServer } from './wire.js';
+
+const OPTIONS: ServerOptions = { keepAliveTimeout: 30_000, requestTimeout: 70_000, headersTimeout: 15_000 };
+
 export class ListenDefect extends Defect {
   readonly kind = 'cannot-listen';
 }
 
 /** A listening HTTP server that can be closed without dropping what it has read. */
 export class Listener {
-  private constructor(private readonly server: Server, readonly address: Address) {}
+  private constructor(private readonly server: Server, readonly address: Address, private readonly wire: WireServer | null) {}
 
   static open(app: Hono, host: string, port: number): ResultAsync<Listener, ListenDefect> {
+    return Listener.listen(createAdaptorServer({ fetch: app.fetch, serverOptions: OPTIONS }) as Server, host, port);
+  }
+
+  /** A door below hono, for what every request passes through. */
+  static openPlain(take: RequestListener, host: string, port: number, options: ServerOptions = {}): ResultAsync<Listener, ListenDefect> {
+    return Listener.listen(createServer({ ...OPTIONS, ...options }, take), host, port);
+  }
+
+  /** A door for links of other processes alone. */
+  static openWire(wire: WireServer, host: string, port: number): ResultAsync<Listener, ListenDefect> {
+    const server = createServer(OPTIONS, (_incoming, outgoing) => outgoing.writeHead(426, { connection: 'close' }).end());
+    server.on('upgrade', (incoming, socket, head) => wire.take(incoming, socket, head));
+    return Listener.listen(server, host, port, wire);
+  }
+
+  private static listen(server: Server, host: string, port: number, wire: WireServer | null = null): ResultAsync<Listener, ListenDefect> {
     return new ResultAsync(new Promise<Result<Listener, ListenDefect>>((settle) => {
-      const server = createAdaptorServer({ fetch: app.fetch, serverOptions: { keepAliveTimeout: 30_000, requestTimeout: 70_000, headersTimeout: 15_000 } }) as Server;
       server.once('error', (error) => settle(err(new ListenDefect(`${host}:${port}`, error))));
-      server.listen(port, host, 1024, () => settle(ok(new Listener(server, Address.of(host, (server.address() as AddressInfo).port)))));
+      server.listen(port, host, 1024, () => settle(ok(new Listener(server, Address.of(host, (server.address() as AddressInfo).port), wire))));
     }));
   }
 
@@ -27,8 +46,9 @@
   }
 
   /** Stops listening, closes idle connections and resolves when the last running exchange has ended. */
-  close(): Promise<void> {
-    return new Promise((settle) => {
+  async close(): Promise<void> {
+    await this.wire?.close();
+    await new Promise<void>((settle) => {
       this.server.close(() => settle());
       this.server.closeIdleConnections();
       const sweep = setInterval(() => this.server.closeIdleConnections(), 50);
@@ -38,6 +58,7 @@
 
   /** Ends everything at once; only for listeners whose callers ask again. */
   cut(): void {
+    this.wire?.cut();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/src/connection/orderDoor.ts
+++ b/src/connection/orderDoor.ts
@@ -1,12 +1,10 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { HttpBindings } from '@hono/node-server';
-import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
-import { Hono } from 'hono';
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import type { CallerOrder, Ending } from '../request/forwarder.js';
 import { Defect } from '../process/defect.js';
 import { METHODS } from '../version/manifest.js';
 import { Headers } from './headers.js';
+import { HeaderText } from './hopCalls.js';
 import type { OwnAnswer, Speech } from './speech.js';
 
 /** An order may be this long. */
@@ -58,49 +56,38 @@
 
 const give = (desk: OrderDesk, outgoing: ServerResponse, method: string, ending: Extract<Ending, { kind: 'answer' }>): void => {
   const { status, headers, body } = ending.answer;
-  const kept = Headers.ofAnswer(headers, method, status, body.length);
+  const kept = Headers.ofAnswer(HeaderText.read(headers), method, status, body.length);
   outgoing.sendDate = false;
   outgoing.writeHead(status, [...kept, ...desk.speech.withAnswer(ending.order), ...(desk.isClosing() ? ['connection', 'close'] : [])]);
   outgoing.end(method === 'HEAD' || status === 204 || status === 304 ? undefined : body);
 };
 
 /** The callers' side: reads orders whole, hands them in and gives the endings back. */
-export const orderApp = (desk: OrderDesk): Hono<{ Bindings: HttpBindings }> => {
-  const app = new Hono<{ Bindings: HttpBindings }>();
+export const orderDoor = (desk: OrderDesk): RequestListener => {
   let underWay = 0;
-  app.onError((error, context) => {
-    const { outgoing } = context.env as { outgoing: ServerResponse };
-    desk.failed(error);
-    if (!outgoing.headersSent) tell(desk, outgoing, { order: '', status: 502, outcome: 'unknown', reason: 'internal-defect', detail: 'opalstair failed while it carried this order', retryAfterMs: null }, true);
-    return RESPONSE_ALREADY_SENT;
-  });
-  app.use('*', async (context, next) => {
-    if (underWay >= desk.ordersAtOnce) {
-      tell(desk, (context.env as { outgoing: ServerResponse }).outgoing, { order: '', status: 503, outcome: 'not-run', reason: 'too-many-orders', detail: `${underWay} orders are under way`, retryAfterMs: RETRY_AFTER_MS }, true);
-      return RESPONSE_ALREADY_SENT;
-    }
-    underWay += 1;
-    await next();
-    underWay -= 1;
-    return undefined;
-  });
-  app.all('*', async (context) => {
-    const { incoming, outgoing } = context.env as { incoming: IncomingMessage; outgoing: ServerResponse };
+  const take = async (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> => {
     const method = incoming.method ?? 'GET';
     const body = await readWhole(incoming, Math.min(ORDER_LIMIT, desk.bodyLimit()));
     if (body.isErr()) {
       if (body.error.kind === 'order-too-long') tell(desk, outgoing, { order: '', status: 413, outcome: 'not-run', reason: body.error.kind, detail: body.error.detail, retryAfterMs: null }, true);
-      return RESPONSE_ALREADY_SENT;
+      return;
     }
     if (!(METHODS as readonly string[]).includes(method)) {
-      tell(desk, outgoing, { order: '', status: 405, outcome: 'not-run', reason: 'no-such-method', detail: `${method} is not taken here`, retryAfterMs: null }, desk.isClosing());
-      return RESPONSE_ALREADY_SENT;
+      return tell(desk, outgoing, { order: '', status: 405, outcome: 'not-run', reason: 'no-such-method', detail: `${method} is not taken here`, retryAfterMs: null }, desk.isClosing());
     }
     const ending = await desk.carry({ method, url: incoming.url ?? '/', host: incoming.headers.host ?? '', headers: incoming.rawHeaders, body: body.value });
-    if (outgoing.destroyed || outgoing.headersSent) return RESPONSE_ALREADY_SENT;
+    if (outgoing.destroyed || outgoing.headersSent) return;
     if (ending.kind === 'answer') give(desk, outgoing, method, ending);
     else tell(desk, outgoing, ending, desk.isClosing());
-    return RESPONSE_ALREADY_SENT;
-  });
-  return app;
+  };
+  return (incoming, outgoing) => {
+    if (underWay >= desk.ordersAtOnce) {
+      return tell(desk, outgoing, { order: '', status: 503, outcome: 'not-run', reason: 'too-many-orders', detail: `${underWay} orders are under way`, retryAfterMs: RETRY_AFTER_MS }, true);
+    }
+    underWay += 1;
+    void take(incoming, outgoing).catch((error: unknown) => {
+      desk.failed(error instanceof Error ? error : new Error(String(error)));
+      if (!outgoing.headersSent) tell(desk, outgoing, { order: '', status: 502, outcome: 'unknown', reason: 'internal-defect', detail: 'opalstair failed while it carried this order', retryAfterMs: null }, true);
+    }).finally(() => { underWay -= 1; });
+  };
 };
--- a/src/connection/wire.ts
+++ b/src/connection/wire.ts
@@ -1,27 +1,38 @@
 import { BSON } from 'bson';
-import type { Context, Hono } from 'hono';
-import Joi from 'joi';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { Agent, request } from 'undici';
+import type { IncomingMessage } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { WebSocketServer, type WebSocket } from 'ws';
+import { MessageDefect, type LostDefect, type TurnedAwayDefect, type UnreachableDefect } from '../process/defect.js';
 import type { Address } from '../process/brands.js';
-import { LostDefect, MessageDefect, TurnedAwayDefect, UnreachableDefect } from '../process/defect.js';
+import { WireLink } from './wireLink.js';
 
-const CLUSTER_HEADER = 'opalstair-cluster';
-const FORMAT_HEADER = 'opalstair-format';
+export const CLUSTER_HEADER = 'opalstair-cluster';
+export const FORMAT_HEADER = 'opalstair-format';
 /** The format of the messages between processes: raised when a process of the former release could misread one. */
-export const WIRE_FORMAT = 2;
-const BSON_TYPE = 'application/bson';
+export const WIRE_FORMAT = 3;
 /** The most that one message between processes may hold: a whole order or answer and its envelope. */
 export const WIRE_LIMIT = 17 * 1024 * 1024;
 
 export type WireDefect = UnreachableDefect | LostDefect | MessageDefect | TurnedAwayDefect;
 
+/** Checks a message that may come from anyone; Joi's schemas are such shapes. */
+export interface Shape {
+  validate(document: unknown, options: { readonly convert: false; readonly allowUnknown: true }): { readonly error?: { readonly message: string } | undefined; readonly value?: unknown };
+}
+const OPTIONS = { convert: false, allowUnknown: true } as const;
+const ANYTHING: Shape = { validate: (value) => ({ value }) };
+
+/** Checks a document's shape. */
+export const checkShape = <T>(document: unknown, shape: Shape): Result<T, MessageDefect> => {
+  const checked = shape.validate(document, OPTIONS);
+  return checked.error === undefined ? ok(checked.value as T) : err(new MessageDefect(checked.error.message));
+};
+
 /** Reads BSON that may come from anyone and checks its shape. */
-export const readBson = <T>(bytes: Uint8Array, shape: Joi.ObjectSchema): Result<T, MessageDefect> => {
+export const readBson = <T>(bytes: Uint8Array, shape: Shape): Result<T, MessageDefect> => {
   try {
-    const document = BSON.deserialize(bytes, { promoteBuffers: true, promoteValues: true });
-    const checked = shape.validate(document, { convert: false, allowUnknown: true });
-    return checked.error === undefined ? ok(checked.value as T) : err(new MessageDefect(checked.error.message));
+    return checkShape<T>(BSON.deserialize(bytes, { promoteBuffers: true, promoteValues: true }), shape);
   } catch (error) {
     return err(new MessageDefect('not BSON', error));
   }
@@ -29,48 +40,46 @@
 
 export const writeBson = (document: object): Uint8Array => BSON.serialize(document, { ignoreUndefined: true });
 
-/** The door's own answers: the message went to nobody. */
-const UNREAD = new Set([400, 403, 413, 426]);
-const NOT_SENT = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTDOWN']);
+/** One question on a link, by its number; the answer carries the same. */
+export interface Envelope {
+  readonly number: number;
+  readonly path: string;
+  readonly message: object;
+}
+/** `refused` says why the message was not looked at, or could not be read. */
+export interface Reply {
+  readonly number: number;
+  readonly answer?: object;
+  readonly refused?: string;
+}
 
-/** Calls between opalstair's processes: BSON in and out over kept-alive HTTP. */
+/** Calls between opalstair's processes: BSON messages over one kept link to each. */
 export class WireClient {
-  private readonly agent: Agent;
+  private readonly links = new Map<Address, WireLink>();
+  private isClosed = false;
 
-  constructor(private readonly cluster: string, localHost: string, connectMs = 500) {
-    this.agent = new Agent({
-      localAddress: localHost, connect: { timeout: connectMs }, connections: 256, pipelining: 1,
-      keepAliveTimeout: 10_000, headersTimeout: 0, bodyTimeout: 0, maxResponseSize: WIRE_LIMIT,
-    });
-  }
+  constructor(private readonly cluster: string, private readonly localHost: string, private readonly connectMs = 500) {}
 
   /** Sends one message; an unreachable defect proves that nothing of it was sent. */
-  call<T>(address: Address, path: string, message: object, cutoffMs: number, shape: Joi.ObjectSchema = Joi.object()): ResultAsync<T, WireDefect> {
-    return new ResultAsync(this.exchange<T>(address, path, message, cutoffMs, shape));
+  call<T>(address: Address, path: string, message: object, cutoffMs: number, shape: Shape = ANYTHING): ResultAsync<T, WireDefect> {
+    return new ResultAsync(this.linkTo(address).call(path, message, Math.max(1, cutoffMs)).then((answer) => answer.andThen((document) => checkShape<T>(document, shape))));
   }
 
-  private async exchange<T>(address: Address, path: string, message: object, cutoffMs: number, shape: Joi.ObjectSchema): Promise<Result<T, WireDefect>> {
-    const cutoff = new AbortController();
-    const timer = setTimeout(() => cutoff.abort(), Math.max(1, cutoffMs));
-    try {
-      const answer = await request(`http://${address}${path}`, {
-        method: 'POST', dispatcher: this.agent, signal: cutoff.signal, body: Buffer.from(writeBson(message)),
-        headers: { 'content-type': BSON_TYPE, [CLUSTER_HEADER]: this.cluster, [FORMAT_HEADER]: String(WIRE_FORMAT) },
-      });
-      const bytes = new Uint8Array(await answer.body.arrayBuffer());
-      if (answer.statusCode !== 200) return err(new TurnedAwayDefect(`${address}${path} answered ${answer.statusCode}`, UNREAD.has(answer.statusCode)));
-      return readBson<T>(bytes, shape);
-    } catch (error) {
-      const code = (error as { readonly code?: string }).code ?? '';
-      return NOT_SENT.has(code)
-        ? err(new UnreachableDefect(`${address}${path}`, error)) : err(new LostDefect(`${address}${path}`, error));
-    } finally {
-      clearTimeout(timer);
-    }
+  close(): Promise<void> {
+    this.isClosed = true;
+    this.links.forEach((link) => link.end());
+    this.links.clear();
+    return Promise.resolve();
   }
 
-  close(): Promise<void> {
-    return this.agent.destroy();
+  private linkTo(address: Address): WireLink {
+    const known = this.links.get(address);
+    if (known !== undefined && known.isUsable) return known;
+    const link = new WireLink(address, { [CLUSTER_HEADER]: this.cluster, [FORMAT_HEADER]: String(WIRE_FORMAT) }, this.localHost, this.connectMs, () => {
+      if (this.links.get(address) === link) this.links.delete(address);
+    });
+    if (!this.isClosed) this.links.set(address, link);
+    return link;
   }
 }
 
@@ -79,25 +88,88 @@
   turnedAway(path: string, reason: string): void;
 }
 
+interface Handler {
+  readonly shape: Shape;
+  readonly answer: (message: never) => Promise<object> | object;
+}
+
 /** The serving side: paths that take a BSON message and answer with one. */
 export class WireServer {
-  constructor(private readonly app: Hono, private readonly cluster: string, private readonly watch: WireWatch) {}
-
-  on<T>(path: string, shape: Joi.ObjectSchema, answer: (message: T) => Promise<object> | object): void {
-    this.app.post(path, async (context: Context) => {
-      if (context.req.header(CLUSTER_HEADER) !== this.cluster) return this.turnAway(context, path, 'foreign cluster', 403);
-      const format = Number(context.req.header(FORMAT_HEADER) ?? WIRE_FORMAT);
-      if (format !== WIRE_FORMAT) return this.turnAway(context, path, `format ${format} is not spoken here, ${WIRE_FORMAT} is`, 426);
-      if (Number(context.req.header('content-length') ?? Infinity) > WIRE_LIMIT) return this.turnAway(context, path, 'too large, or of unknown length', 413);
-      const message = readBson<T>(new Uint8Array(await context.req.arrayBuffer()), shape);
-      if (message.isErr()) return this.turnAway(context, path, message.error.describe(), 400);
-      const document = writeBson(await answer(message.value));
-      return context.body(document as Uint8Array<ArrayBuffer>, 200, { 'content-type': BSON_TYPE });
+  private readonly handlers = new Map<string, Handler>();
+  private readonly door = new WebSocketServer({ noServer: true, perMessageDeflate: false, maxPayload: WIRE_LIMIT, clientTracking: true, skipUTF8Validation: true });
+  private running = 0;
+  private isClosing = false;
+  private ended: () => void = () => undefined;
+
+  constructor(private readonly cluster: string, private readonly watch: WireWatch) {}
+
+  on<T>(path: string, shape: Shape, answer: (message: T) => Promise<object> | object): void {
+    this.handlers.set(path, { shape, answer: answer as Handler['answer'] });
+  }
+
+  /** Takes a link of another process of this mesh, or turns it away unread. */
+  take(incoming: IncomingMessage, socket: Duplex, head: Buffer): void {
+    const format = Number(incoming.headers[FORMAT_HEADER] ?? WIRE_FORMAT);
+    const refuse = (status: string, reason: string): void => {
+      this.watch.turnedAway('', reason);
+      socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: text/plain\r\ncontent-length: ${Buffer.byteLength(reason)}\r\n\r\n${reason}`);
+    };
+    socket.on('error', () => socket.destroy());
+    if (incoming.headers[CLUSTER_HEADER] !== this.cluster) return refuse('403 Forbidden', 'foreign cluster');
+    if (format !== WIRE_FORMAT) return refuse('426 Upgrade Required', `format ${format} is not spoken here, ${WIRE_FORMAT} is`);
+    this.door.handleUpgrade(incoming, socket, head, (link) => {
+      link.on('error', (error) => {
+        this.watch.turnedAway('', error.message);
+        link.terminate();
+      });
+      link.on('message', (bytes) => this.hear(link, bytes as Buffer));
+    });
+  }
+
+  /** Looks at no further message, lets the running ones be answered and ends all links. */
+  async close(): Promise<void> {
+    this.isClosing = true;
+    if (this.running > 0) await new Promise<void>((settle) => { this.ended = settle; });
+    this.door.clients.forEach((link) => link.close());
+    setTimeout(() => this.cut(), 200).unref();
+  }
+
+  /** Ends all links at once. */
+  cut(): void {
+    this.door.clients.forEach((link) => link.terminate());
+  }
+
+  private hear(link: WebSocket, bytes: Buffer): void {
+    const envelope = readBson<Envelope>(bytes, ANYTHING);
+    const number = envelope.isOk() ? envelope.value.number : null;
+    if (envelope.isErr() || typeof number !== 'number' || typeof envelope.value.path !== 'string') {
+      this.watch.turnedAway('', envelope.isErr() ? envelope.error.describe() : 'no envelope');
+      return link.terminate();
+    }
+    const { path, message } = envelope.value;
+    const handler = this.handlers.get(path);
+    const refuse = (reason: string): void => this.reply(link, { number, refused: reason });
+    if (this.isClosing) return refuse('stopping');
+    if (handler === undefined) {
+      this.watch.turnedAway(path, 'no such path');
+      return refuse('no such path');
+    }
+    const checked = checkShape<never>(message, handler.shape);
+    if (checked.isErr()) {
+      this.watch.turnedAway(path, checked.error.describe());
+      return refuse(checked.error.describe());
+    }
+    this.running += 1;
+    void Promise.resolve(handler.answer(checked.value)).then((answer) => this.reply(link, { number, answer }), (error: unknown) => {
+      this.watch.turnedAway(path, `failed: ${String(error)}`);
+      link.terminate();
+    }).finally(() => {
+      this.running -= 1;
+      if (this.running === 0) this.ended();
     });
   }
 
-  private turnAway(context: Context, path: string, reason: string, status: 400 | 403 | 413 | 426): Response {
-    this.watch.turnedAway(path, reason);
-    return context.text(reason, status);
+  private reply(link: WebSocket, reply: Reply): void {
+    link.send(writeBson(reply), () => undefined);
   }
 }
--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -2,7 +2,7 @@
 import { performance } from 'node:perf_hooks';
 import type { Result, ResultAsync } from 'neverthrow';
 import { pino, type Logger } from 'pino';
-import { Registry, collectDefaultMetrics } from 'prom-client';
+import { Gauge, Registry } from 'prom-client';
 import { brand, type BootId } from './brands.js';
 import { Clock } from './clock.js';
 import type { Defect } from './defect.js';
@@ -39,6 +39,13 @@
   process.exit(code);
 };
 
+/** The library's own collection keeps a timer that fires a hundred times a second; these are read when they are asked for. */
+const addProcessMetrics = (metrics: Registry): void => {
+  new Gauge({ name: 'process_cpu_seconds_total', help: 'Processor time used', registers: [metrics], collect() { const { user, system } = process.cpuUsage(); this.set((user + system) / 1e6); } });
+  new Gauge({ name: 'process_resident_memory_bytes', help: 'Memory in use', registers: [metrics], collect() { this.set(process.memoryUsage.rss()); } });
+  new Gauge({ name: 'nodejs_heap_size_used_bytes', help: 'Heap in use', registers: [metrics], collect() { this.set(process.memoryUsage().heapUsed); } });
+};
+
 /** Runs a daemon from its command line to its end: settings, logs, signals, exit codes. */
 export const runProgram = async <S extends PlaceSettings>(program: Program<S>): Promise<void> => {
   const line = readCommandLine(program.table, process.argv.slice(2));
@@ -57,7 +64,7 @@
   const boot = brand<BootId>(randomBytes(9).toString('base64url'));
   const log = pino({ level: settings.value.logLevel, base: { program: program.name, node: settings.value.node, boot } });
   const metrics = new Registry();
-  collectDefaultMetrics({ register: metrics });
+  addProcessMetrics(metrics);
   const stalls = new StallGuard(Clock.monotonic);
   stalls.onStall((gap) => log.warn({ event: 'stall', gapMs: Math.round(gap) }, 'the process stood still'));
   const started = await program.start({ settings: settings.value, log, boot, clock: Clock.monotonic, stalls, metrics });
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -1,4 +1,4 @@
-import { Hono } from 'hono';
+import type { Hono } from 'hono';
 import Joi from 'joi';
 import { Counter } from 'prom-client';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
@@ -84,8 +84,7 @@
     log.error({ event: 'calendar-turned-away', defect: defect.describe() });
   });
   readWindows(settings.windows);
-  const wireApp = new Hono();
-  const server = wireServer(frame, wireApp);
+  const server = wireServer(frame);
   server.on<NodePoll>(NodePath.poll, nodePollShape, (message) => desk.poll(message));
   server.on<NodeReport>(NodePath.report, nodeReportShape, (message) => desk.report(message));
   server.on<OutcomeReport>(NodePath.outcomes, outcomeReportShape, (message) => desk.outcomes(message));
@@ -108,7 +107,7 @@
     roster: () => ({ voters: follower.voters(), isCurrent: follower.isCurrent() }),
     allowances: () => ({ rules: follower.manifest()?.manifest.allowance ?? null, shares: desk.shareViews() }),
   });
-  const listeners = await ResultAsync.combine([Listener.open(wireApp, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
+  const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
     ...(door === null || settings.operatorPort === undefined ? [] : [Listener.open(door(clerk, { earn: settings.earn, serviceShares: settings.serviceShares }), settings.listenHost, settings.operatorPort)])]);
   if (listeners.isErr()) return err(listeners.error);
   desk.start();
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -10,7 +10,7 @@
 import { Listener } from '../../connection/listener.js';
 import { digestAskShape, NodePath, type DigestAsk } from '../../connection/nodeCalls.js';
 import { problem } from '../../connection/operators.js';
-import { orderApp } from '../../connection/orderDoor.js';
+import { orderDoor as takeOrders } from '../../connection/orderDoor.js';
 import { ownSpeech, type Speech } from '../../connection/speech.js';
 import { WireClient, type WireDefect } from '../../connection/wire.js';
 import { Allowance } from '../../process/allowance.js';
@@ -95,8 +95,7 @@
   new Gauge({ name: 'opalstair_allowance_tokens', help: 'Repeats left at each branch of the tree', labelNames: ['branch'], registers: [frame.metrics], collect() { allowance.views().forEach(({ branch, tokens }) => this.set({ branch }, tokens)); } });
 
   let closing = false;
-  const wireApp = new Hono();
-  const server = wireServer(frame, wireApp);
+  const server = wireServer(frame);
   server.on<HopOrder>(HopPath.order, hopOrderShape, (message) => hosting.run(message));
   server.on<VerdictAsk>(HopPath.verdict, verdictAskShape, (message) => hosting.verdictOf(message));
   server.on<ProbeAsk>(HopPath.probe, probeAskShape, (message) => hosting.probe(message));
@@ -114,7 +113,7 @@
     const asked = explainShape.validate(await context.req.json().catch(() => null), { convert: false });
     return asked.error === undefined ? context.json(forwarder.explain(asked.value as Target)) : problem(context, 400, 'bad-request', asked.error.message);
   });
-  const orders = orderApp({
+  const orders = takeOrders({
     carry: (order) => forwarder.carry(order), isClosing: () => closing, ordersAtOnce: settings.ordersAtOnce,
     failed: (error) => log.error({ event: 'internal-defect', error: error.stack }), speech: doors.speech, bodyLimit: () => delivery.now().manifest.limits.bodyBytes,
   });
@@ -126,8 +125,8 @@
     },
   });
   const listeners = await ResultAsync.combine([
-    Listener.open(wireApp, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
-    Listener.open(orders as unknown as Hono, settings.listenHost, settings.orderPort), Listener.open(beats as unknown as Hono, settings.listenHost, settings.beatPort),
+    Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
+    Listener.openPlain(orders, settings.listenHost, settings.orderPort), Listener.open(beats as unknown as Hono, settings.listenHost, settings.beatPort),
     ...(settings.readyPort === undefined ? [] : [Listener.open(doors.ready(isReady), settings.listenHost, settings.readyPort)]),
   ]);
   if (listeners.isErr()) return err(listeners.error);
--- a/src/programs/ratebook.ts
+++ b/src/programs/ratebook.ts
@@ -1,6 +1,5 @@
 #!/usr/bin/env node
 import { randomBytes } from 'node:crypto';
-import { Hono } from 'hono';
 import Joi from 'joi';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { adminApp, wireServer } from '../connection/admin.js';
@@ -46,8 +45,7 @@
   const books = new Bookkeeper(frame, replica.value, membership.value, new StoreClient(wire), {
     replaceAfterMs: settings.replaceAfterMs, size: settings.losses === undefined ? settings.seeds.length : 2 * settings.losses + 1, mayFound: settings.mayFound,
   });
-  const wireApp = new Hono();
-  const server = wireServer(frame, wireApp);
+  const server = wireServer(frame);
   server.on<AskMessage>(StorePath.ask, askShape, (message) => books.answerAsk(message));
   server.on(StorePath.identity, Joi.object(), () => books.identity());
   server.on<ChangeMessage>(StorePath.change, changeShape, (message) => books.change(message));
@@ -62,7 +60,7 @@
   server.on<PollMessage>(StorePath.poll, pollShape, (message) => books.poll(message));
   let stopping = false;
   const admin = adminApp(frame, membership.value, () => books.isReady && !stopping);
-  const listeners = await ResultAsync.combine([Listener.open(wireApp, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort)]);
+  const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort)]);
   if (listeners.isErr()) return err(listeners.error);
   books.start();
   log.info({ event: 'listening', disk: replica.value.id, wire: listeners.value[0]?.address, admin: listeners.value[1]?.address });
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -1,5 +1,5 @@
 import { Counter, Histogram } from 'prom-client';
-import { HopPath, verdictShape, type HopOrder, type HopVerdict, type VerdictAnswer, type WholeAnswer } from '../connection/hopCalls.js';
+import { HeaderText, HopPath, verdictShape, type HopOrder, type HopVerdict, type VerdictAnswer, type WholeAnswer } from '../connection/hopCalls.js';
 import { Headers, type RawHeaders } from '../connection/headers.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
 import type { Allowance } from '../process/allowance.js';
@@ -62,7 +62,7 @@
   /** The id by which the endpoint's answer must name it. */
   readonly request: string;
   readonly callerLeftMs: number;
-  onward: RawHeaders | null;
+  onward: string | null;
   binding: Binding;
   service: ServiceName;
   inForce: InForce;
@@ -177,7 +177,7 @@
     this.hopCount += 1;
     trip.hop = this.hopCount;
     const { method, url, headers, body } = trip.given;
-    trip.onward ??= this.parts.speech.onward(Headers.ofOrder(headers, method, body.length), this.parts.callingService);
+    trip.onward ??= HeaderText.of(this.parts.speech.onward(Headers.ofOrder(headers, method, body.length), this.parts.callingService));
     const hopOrder: HopOrder = {
       order: trip.order, caller: this.frame.settings.node, callerBoot: this.frame.boot, hop: trip.hop, hostBoot: row.nodeBoot, service: row.service, endpoint: row.id,
       instance: row.instance, binding: trip.binding.id, serial: trip.inForce.serial, request: trip.request, leftMs: this.left(trip), heldMs: this.held(trip), sentAt: this.frame.clock.now(), method, url, headers: trip.onward, body,
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -1,5 +1,5 @@
 import { Counter, Gauge } from 'prom-client';
-import type { HopOrder, HopVerdict, ProbeAnswer, ProbeAsk, TurnAwayCause, VerdictAnswer, VerdictAsk } from '../connection/hopCalls.js';
+import { HeaderText, type HopOrder, type HopVerdict, type ProbeAnswer, type ProbeAsk, type TurnAwayCause, type VerdictAnswer, type VerdictAsk } from '../connection/hopCalls.js';
 import { exchangeWithEndpoint } from '../connection/endpointExchange.js';
 import type { EndpointLinks } from '../connection/endpointLinks.js';
 import type { Speech } from '../connection/speech.js';
@@ -107,7 +107,7 @@
     const start = this.frame.clock.now();
     const answer = await exchangeWithEndpoint({
       agent: this.links.agentOf(address, order.instance), method: order.method, url: order.url,
-      headers: [...order.headers, ...this.speech.toEndpoint({ order: order.order as OrderId, instance: order.instance, leftMs: left() })], body: order.body, leftMs: left(),
+      headers: [...HeaderText.read(order.headers), ...this.speech.toEndpoint({ order: order.order as OrderId, instance: order.instance, leftMs: left() })], body: order.body, leftMs: left(),
       fault: () => faultNow() ?? seat.value.recheck(), read: (status, headers) => this.speech.ofAnswer(status, headers, order.request), onOdd: () => this.links.noteOdd(`${address}/${order.instance}`),
     });
     seat.value.leave(answer.isOk() ? this.frame.clock.now() - start : undefined);
