--- a/src/connection/operators.ts
+++ b/src/connection/operators.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from 'node:crypto';
 import { readFileSync } from 'node:fs';
-import { fileURLToPath } from 'node:url';
 import type { Context, Hono } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import Joi from 'joi';
@@ -8,9 +7,9 @@
 import type { ReplaceMessage } from './storeCalls.js';
 import type { ChangeId, Serial } from '../process/brands.js';
 import type { ManifestClerk, ClerkDefect, ReadBack } from '../process/manifestClerk.js';
+import { projectFile } from '../process/release.js';
 import { Manifest } from '../version/manifest.js';
 
-const SCHEMA_FILE = fileURLToPath(new URL('../../../schema/opalstair.openapi.json', import.meta.url));
 /** An operator's call may be this long; a manifest must fit into one message between processes. */
 const BODY_LIMIT = 8 * 1024 * 1024;
 const PROBLEM = 'application/problem+json';
@@ -84,7 +83,7 @@
     const outcome = await clerk.replaceDisk(body.value as ReplaceMessage);
     return outcome.match((serial) => context.json({ outcome: 'acknowledged', serial }), (defect) => turnAway(context, defect));
   });
-  app.get('/v1/schema', (context) => context.body(readFileSync(SCHEMA_FILE, 'utf8'), 200, { 'content-type': 'application/json' }));
+  app.get('/v1/schema', (context) => context.body(readFileSync(projectFile('schema/opalstair.openapi.json'), 'utf8'), 200, { 'content-type': 'application/json' }));
   app.get('/v1/fleet', (context) => context.json(views.fleet()));
   app.get('/v1/endpoints', (context) => context.json(views.endpoints()));
   app.get('/v1/roster', (context) => context.json(views.roster()));
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -20,7 +20,7 @@
 
 const ASK_MS = 1000;
 const INQUIRE_MS = 300;
-const HEARD_MS = 1000;
+const HEARD_MS = 1500;
 const OWNED_KEYS: readonly KeyName[] = [ROSTER_KEY, MANIFEST_KEY];
 
 /** Answers a register's ask: the reply, or the type and words of the defect. */
@@ -71,8 +71,8 @@
     const every = (period: number, work: () => Promise<void>): void => repeat({ firstAfter: period, period, isOver: () => this.isStopping }, work);
     every(100, () => this.caretake());
     every(500, () => this.renewAll());
-    every(300, () => this.meetOthers());
-    every(1000, () => this.sweep());
+    every(500, () => this.meetOthers());
+    every(2000, () => this.sweep());
   }
 
   /** The roster was reached: this ratebook knows who votes. */
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -13,12 +13,12 @@
 import type { Result } from 'neverthrow';
 
 /** A directory that died at an acknowledgement is noticed after both, and all others are asked at once: well below 2 s. */
-const HOLD_MS = 600;
+const HOLD_MS = 1000;
 const SILENCE_MS = 400;
 const REACH_MS = 500;
 const ASK_ONCE_MS = 300;
 /** Neighbours may be older than a directory, so they are asked only when no current one has answered for a while. */
-const DIRECTORY_FIRST_MS = 1000;
+const DIRECTORY_FIRST_MS = 1500;
 const NEIGHBOURS_MS = 300;
 const NEIGHBOURS_ASKED = 5;
 const NEIGHBOUR_ANSWER_MS = 500;
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -31,6 +31,9 @@
 }
 
 const CALENDAR_FRESH_MS = 5000;
+const DESK_MS = 200;
+const JUDGE_MS = 2000;
+const RELAY_MS = 250 as Millis;
 const NO_RULES: HealthRules = Manifest.check({ services: [], bindings: [] })._unsafeUnwrap().health;
 
 /** The key whose lease lets a directory lend out shares of the allowances. */
@@ -51,6 +54,8 @@
   private noted: { readonly serial: number; readonly at: number; readonly nodes: ReadonlySet<string> } = { serial: 0, at: 0, nodes: new Set() };
   private learnedUnder: ReadonlyMap<ServiceName, Epoch> = new Map();
   private isStopping = false;
+  private hasNews = true;
+  private judgedAt = 0;
   private windows = Windows.none;
   private calendars: ReadonlyMap<NodeName, { readonly fingerprint: string; readonly heardAt: number }> = new Map();
 
@@ -85,15 +90,15 @@
 
   start(): void {
     const every = (period: number, work: () => Promise<void>): void => repeat({ firstAfter: 0, period, isOver: () => this.isStopping }, work);
-    every(100, async () => {
+    every(DESK_MS, async () => {
       this.registry.sweep();
       if (this.frame.clock.now() >= this.warmUntil) {
         await this.duties.strive([SHARES_KEY, ...this.registry.services().map(maskDutyKey)]);
         await this.learnBeforeJudging();
-        this.masks.judgeAll();
+        this.judgeIfDue();
       }
     });
-    every(200, () => this.masks.probeMasked(this.rules.probeEveryMs));
+    every(500, () => this.masks.probeMasked(this.rules.probeEveryMs));
     every(1000, async () => this.links.tellDirectories({
       masks: this.masks.all().filter((mask) => this.epochOf(mask.service) === mask.epoch), from: this.frame.settings.node, calendar: this.windows.fingerprint,
     }));
@@ -111,12 +116,13 @@
   }
 
   report(message: NodeReport): object {
-    this.registry.hear(message);
+    if (this.registry.hear(message)) this.hasNews = true;
     return {};
   }
 
   outcomes(message: OutcomeReport): object {
     this.merger.hear(message);
+    if (message.rows.some((row) => row.failures > 0 || row.pathDefects > 0)) this.hasNews = true;
     return {};
   }
 
@@ -143,13 +149,25 @@
     this.news.wake();
   }
 
+  /** Judges when something was heard that could change a mask, and now and then all the same. */
+  private judgeIfDue(): void {
+    const now = this.frame.clock.now();
+    if (!this.hasNews && now - this.judgedAt < JUDGE_MS) return;
+    this.hasNews = false;
+    this.judgedAt = now;
+    this.masks.judgeAll();
+  }
+
   /** A new holder of a duty first learns the mask in force from nodes: it may be one that none of them asks. */
   private async learnBeforeJudging(): Promise<void> {
     const epochs = new Map(this.registry.services().flatMap((service) => {
       const epoch = this.epochOf(service);
       return epoch === null ? [] : [[service, epoch] as const];
     }));
-    if ([...epochs].some(([service, epoch]) => this.learnedUnder.get(service) !== epoch)) this.masks.learn(await this.links.masksOf(null));
+    if ([...epochs].some(([service, epoch]) => this.learnedUnder.get(service) !== epoch)) {
+      this.masks.learn(await this.links.masksOf(null));
+      this.hasNews = true;
+    }
     this.learnedUnder = epochs;
   }
 
@@ -181,9 +199,13 @@
   }
 
   private async relayCommits(): Promise<void> {
+    let wasCurrent = false;
     while (!this.isStopping) {
-      await this.follower.news.wait(100 as Millis);
+      await this.follower.news.wait(RELAY_MS);
       const newest = this.follower.manifest()?.serial ?? 0;
+      const isCurrent = this.follower.isCurrent();
+      if (newest === this.noted.serial && isCurrent === wasCurrent) continue;
+      wasCurrent = isCurrent;
       if (newest !== this.noted.serial) this.noted = { serial: newest, at: this.frame.clock.now(), nodes: new Set() };
       this.news.wake();
     }
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -8,7 +8,8 @@
 import type { Frame } from './program.js';
 import type { PlaceSettings } from './settings.js';
 
-const TICK_MS = 50;
+/** So many looks at the time fall within one probe. */
+const TICKS_A_PROBE = 5;
 const PACKET_LIMIT = 8192;
 
 /** Runs the member table over a UDP socket and tells listeners when the table changed. */
@@ -18,7 +19,7 @@
   private constructor(private readonly socket: Socket, private readonly frame: Frame<PlaceSettings>, private readonly members: Members, private readonly dropped: Counter) {
     socket.on('message', (packet) => this.hear(packet));
     socket.on('error', (error) => frame.log.warn({ event: 'membership-socket', defect: error.message }));
-    setInterval(() => this.obey(this.members.tick()), TICK_MS).unref();
+    setInterval(() => this.obey(this.members.tick()), frame.settings.probeMs / TICKS_A_PROBE).unref();
   }
 
   static open(frame: Frame<PlaceSettings>, role: Role): ResultAsync<Membership, ListenDefect> {
--- a/src/process/outcomeBook.ts
+++ b/src/process/outcomeBook.ts
@@ -30,8 +30,13 @@
   readonly recent: readonly Outcome[];
   readonly mask: LocalMask | null;
   readonly changed: boolean;
+  /** Whether something other than success was noted since the last report. */
+  readonly hasFailed: boolean;
 }
 
+/** Outcomes without a failure tell no more than the latest of them, which ends a run of failures seen elsewhere. */
+const telling = (recent: readonly Outcome[]): readonly Outcome[] => (recent.some(({ failed }) => failed) ? recent : recent.slice(-1));
+
 const keyOf = (row: Pick<EndpointRow, 'service' | 'id' | 'instance'>): string => `${row.service}/${row.id}/${row.instance}`;
 
 /**
@@ -58,7 +63,7 @@
     const isCall = outcome === 'served' || outcome === 'failed';
     const failed = outcome === 'failed';
     const next: Account = {
-      ...former, changed: true,
+      ...former, changed: true, hasFailed: former.hasFailed || outcome !== 'served',
       calls: former.calls + Number(isCall), failures: former.failures + Number(failed),
       turnAways: former.turnAways + Number(outcome === 'turnedAway'), pathDefects: former.pathDefects + Number(outcome === 'pathDefect'),
       cycleStart: isNewCycle ? now : former.cycleStart, baseCalls: isNewCycle ? former.calls : former.baseCalls, baseFailures: isNewCycle ? former.failures : former.baseFailures,
@@ -94,14 +99,16 @@
     return due.map(({ row }) => row);
   }
 
-  /** The rows that changed since the last call; their totals make good any report that was lost. */
-  report(isWhole: boolean): readonly OutcomeRow[] {
+  /** The rows that changed since they were last told, or only the failing ones of them; totals make good any report that was lost. */
+  report(which: 'all' | 'changed' | 'failing'): readonly OutcomeRow[] {
     const now = this.clock.now();
-    const due = [...this.accounts.values()].filter((account) => account.changed || isWhole);
-    this.accounts = this.accounts.map((account) => (account.changed ? { ...account, changed: false } : account));
+    const isDue = (account: Account): boolean => which === 'all' || (account.changed && (which === 'changed' || account.hasFailed));
+    const due = [...this.accounts.values()].filter(isDue);
+    if (due.length === 0) return [];
+    this.accounts = this.accounts.map((account) => (account.changed && isDue(account) ? { ...account, changed: false, hasFailed: false } : account));
     return due.map((account) => ({
       service: account.row.service, endpoint: account.row.id, instance: account.row.instance, calls: account.calls, failures: account.failures,
-      turnAways: account.turnAways, pathDefects: account.pathDefects, recent: account.recent.map(({ at, failed }) => ({ agoMs: now - at, failed })),
+      turnAways: account.turnAways, pathDefects: account.pathDefects, recent: telling(account.recent).map(({ at, failed }) => ({ agoMs: now - at, failed })),
     }));
   }
 
@@ -122,7 +129,7 @@
   }
 
   private blank(row: EndpointRow, now: Instant): Account {
-    return { row, calls: 0, failures: 0, turnAways: 0, pathDefects: 0, cycleStart: now, baseCalls: 0, baseFailures: 0, recent: [], mask: null, changed: true };
+    return { row, calls: 0, failures: 0, turnAways: 0, pathDefects: 0, cycleStart: now, baseCalls: 0, baseFailures: 0, recent: [], mask: null, changed: true, hasFailed: false };
   }
 
   private put(account: Account): void {
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -19,28 +19,31 @@
 
 /** The endpoints of all machines, merged from the switchboards' reports; in memory only. */
 export class Registry {
-  private nodes: ReadonlyMap<NodeName, NodeRow> = new Map();
+  private nodes = new Map<NodeName, NodeRow>();
   private serial = 0;
   private digest: EndpointDigest;
   private readonly startedAt: Instant;
+  private markedAt = 0;
 
   constructor(private readonly boot: BootId, private readonly clock: Clock, private readonly lapseMs: Millis, private readonly warmMs: Millis, private readonly onChange: () => void, private readonly mark: (rows: readonly EndpointRow[]) => readonly EndpointRow[] = (rows) => rows) {
     this.startedAt = clock.now();
     this.digest = { directory: boot, serial: 0 as Serial, rows: [] };
   }
 
-  /** Takes a report unless a later one of that node was heard. */
-  hear(report: NodeReport): void {
+  /** Takes a report unless a later one of that node was heard; whether it changed the list. */
+  hear(report: NodeReport): boolean {
     const known = this.nodes.get(report.node)?.report;
     const isLater = known === undefined || report.life > known.life || (report.boot === known.boot && report.sequence > known.sequence);
-    if (!isLater) return;
-    this.nodes = new Map([...this.nodes, [report.node, { report, heardAt: this.clock.now() }]]);
-    this.refresh();
+    if (!isLater) return false;
+    const isSame = known !== undefined && JSON.stringify(known.rows) === JSON.stringify(report.rows);
+    this.nodes.set(report.node, { report, heardAt: this.clock.now() });
+    if (!isSame) this.refresh();
+    return !isSame;
   }
 
   /** Unlists the endpoints of nodes that fell silent, unless most fell silent at once: then it is this directory that is cut off. */
   sweep(): void {
-    this.refresh();
+    this.remark();
     const silent = [...this.nodes].filter(([, row]) => this.clock.now() - row.heardAt > this.lapseMs).map(([node]) => node);
     if (silent.length === 0 || (this.nodes.size > 2 && silent.length > this.nodes.size / 2)) return;
     this.nodes = new Map([...this.nodes].filter(([node]) => !silent.includes(node)));
@@ -67,6 +70,14 @@
     }));
   }
 
+  /** Windows open and close with time alone: their marks are looked at once a second. */
+  private remark(): void {
+    const now = this.clock.now();
+    if (now - this.markedAt < 1000) return;
+    this.markedAt = now;
+    this.refresh();
+  }
+
   private refresh(): void {
     const rows = [...this.mark([...this.nodes.values()].flatMap(({ report }) => report.rows))]
       .sort((one, other) => (`${one.service}/${one.id}/${one.node}` < `${other.service}/${other.id}/${other.node}` ? -1 : 1));
--- a/src/process/release.ts
+++ b/src/process/release.ts
@@ -1,6 +1,16 @@
-import { createRequire } from 'node:module';
+import { existsSync, readFileSync } from 'node:fs';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 
-const packageFile = createRequire(import.meta.url)('../../../package.json') as { readonly version: string };
+/** The project's folder, above wherever this file was built to. */
+const projectFolder = (): string => {
+  for (let folder = dirname(fileURLToPath(import.meta.url)); ; folder = dirname(folder)) {
+    if (existsSync(join(folder, 'package.json')) || folder === dirname(folder)) return folder;
+  }
+};
 
-/** The release that this process runs. */
-export const RELEASE: string = packageFile.version;
+/** A file of the project by its path from the project's folder. */
+export const projectFile = (path: string): string => join(projectFolder(), path);
+
+/** The release of this build. */
+export const RELEASE = (JSON.parse(readFileSync(projectFile('package.json'), 'utf8')) as { readonly version: string }).version;
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -8,14 +8,17 @@
 import type { Frame } from './program.js';
 import type { PlaceSettings } from './settings.js';
 
-const LIST_MS = 500;
+const LIST_MS = 1000;
 const OUTCOMES_MS = 250;
-const WHOLE_EVERY = 20;
+/** Of so many turns one tells successes too, and of so many of those one tells everything. */
+const CHANGED_EVERY = 8;
+const WHOLE_EVERY = 64;
 
 /** Passes on to every directory what this machine's endpoints say, and what came of the rounds sent from here. */
 export class Reporter {
   private readonly life = Date.now();
   private sequence = 0;
+  private turn = 0;
   private isClosing = false;
   private isDue = false;
 
@@ -53,8 +56,8 @@
   }
 
   private async sendOutcomes(): Promise<void> {
-    const isWhole = this.sequence % WHOLE_EVERY === 0;
-    const rows = this.book.report(isWhole);
+    this.turn += 1;
+    const rows = this.book.report(this.turn % WHOLE_EVERY === 0 ? 'all' : this.turn % CHANGED_EVERY === 0 ? 'changed' : 'failing');
     if (rows.length === 0) return;
     this.sequence += 1;
     const report: OutcomeReport = { node: this.frame.settings.node, boot: this.frame.boot, life: this.life, sequence: this.sequence, rows };
--- a/src/process/stall.ts
+++ b/src/process/stall.ts
@@ -1,7 +1,7 @@
 import type { Instant, Millis } from './brands.js';
 import type { Clock } from './clock.js';
 
-const TICK_MS = 100;
+const TICK_MS = 250;
 const STALL_MS = 500;
 
 /**
--- a/src/process/storeFollower.ts
+++ b/src/process/storeFollower.ts
@@ -12,8 +12,8 @@
 import type { Defect } from './defect.js';
 import type { Result } from 'neverthrow';
 
-const HOLD_MS = 300;
-const FRESH_MS = 700;
+const HOLD_MS = 700;
+const FRESH_MS = 1300;
 const RETRY_MS = 200 as Millis;
 
 /** Keeps a directory up with what the ratebooks committed: one standing question to each of them. */
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -134,7 +134,7 @@
   delivery.start();
   reporter.start();
   shares.start();
-  setInterval(() => endpoints.sweep(), 200).unref();
+  setInterval(() => endpoints.sweep(), 500).unref();
   setInterval(() => void probeOverdue(), 1000).unref();
   log.info({ event: 'listening', wire: wireDoor.address, admin: adminDoor.address, orders: orderDoor.address, beats: beatDoor.address });
   return ok({
--- a/test/health.test.ts
+++ b/test/health.test.ts
@@ -54,7 +54,7 @@
   const clock = { now: () => 10_000 as Instant };
   const registry = new Registry('boot' as BootId, clock, 3000 as Millis, 0 as Millis, () => undefined);
   const rowOf = (id: string, instance: string): object => ({ id, service: 'line', instance, address: '10.0.0.1:1', zone: 'z', slots: 1, leaving: false, node: 'app1', nodeBoot: 'b', hop: '10.0.0.1:2' });
-  const hear = (sequence: number, rows: readonly object[]): void => registry.hear({ node: 'app1', boot: 'b', life: 1, sequence, zone: 'z', hop: '10.0.0.1:2', manifest: 1, rows } as unknown as NodeReport);
+  const hear = (sequence: number, rows: readonly object[]): void => { registry.hear({ node: 'app1', boot: 'b', life: 1, sequence, zone: 'z', hop: '10.0.0.1:2', manifest: 1, rows } as unknown as NodeReport); };
   const rules = Manifest.check({ services: [], bindings: [] })._unsafeUnwrap().health;
   const duty = new MaskDuty(registry, new OutcomeMerger(clock, () => rules), { epochOf: () => 5 as Epoch }, clock, pino({ level: 'silent' }), () => rules, () => Promise.resolve(false), () => undefined);
   const line = 'line' as ServiceName;
