Pick the endpoint that is expected to answer first, over zones too

By the time that its requests take, its load and its zone, blurred a little; hosts tell how long requests take.

--- a/src/process/allowance.ts
+++ b/src/process/allowance.ts
@@ -1,4 +1,3 @@
-import { Map as Table } from 'immutable';
 import type { AllowanceRules } from '../version/manifest.js';
 import type { BindingId, Instant, ServiceName } from './brands.js';
 import type { Clock } from './clock.js';
@@ -28,7 +27,7 @@
  * in any window the repeats of a branch stay below `earn` of its orders plus the shares of all nodes.
  */
 export class Allowance {
-  private buckets: Table<string, Bucket> = Table();
+  private readonly buckets = new Map<string, Bucket>();
   private wantedAt: Instant = -Infinity as Instant;
 
   constructor(private readonly clock: Clock, private readonly rulesNow: () => AllowanceRules, private readonly shareOf: () => number) {}
@@ -61,8 +60,7 @@
 
   private each(service: ServiceName, binding: BindingId, next: (branch: string, cap: number) => number): void {
     const at = this.clock.now();
-    const changed = this.branches(service, binding).map(({ branch, cap }): [string, Bucket] => [branch, { tokens: next(branch, cap), at }]);
-    this.buckets = this.buckets.concat(changed);
+    for (const { branch, cap } of this.branches(service, binding)) this.buckets.set(branch, { tokens: next(branch, cap), at });
   }
 
   private branches(service: ServiceName, binding: BindingId): readonly { readonly branch: string; readonly cap: number }[] {
@@ -83,7 +81,7 @@
     const bucket = this.buckets.get(branch);
     const now = this.clock.now();
     if (bucket === undefined) {
-      this.buckets = this.buckets.set(branch, { tokens: 0, at: now });
+      this.buckets.set(branch, { tokens: 0, at: now });
       return 0;
     }
     const trickle = (this.shareAt(branch) - cap) * ((now - bucket.at) / WINDOW_MS);
--- a/src/process/outcomeBook.ts
+++ b/src/process/outcomeBook.ts
@@ -44,7 +44,7 @@
  * same two rules on this caller's own evidence at once.
  */
 export class OutcomeBook {
-  private accounts: Table<string, Account> = Table();
+  private readonly accounts = new Map<string, Account>();
   private trials: Table<string, Instant> = Table();
   private readonly counter: Counter<'service' | 'outcome'>;
   private readonly clock: Clock;
@@ -105,7 +105,7 @@
     const isDue = (account: Account): boolean => which === 'all' || (account.changed && (which === 'changed' || account.hasFailed));
     const due = [...this.accounts.values()].filter(isDue);
     if (due.length === 0) return [];
-    this.accounts = this.accounts.map((account) => (account.changed && isDue(account) ? { ...account, changed: false, hasFailed: false } : account));
+    for (const account of due) if (account.changed) this.put({ ...account, changed: false, hasFailed: false });
     return due.map((account) => ({
       service: account.row.service, endpoint: account.row.id, instance: account.row.instance, calls: account.calls, failures: account.failures,
       turnAways: account.turnAways, pathDefects: account.pathDefects, recent: telling(account.recent).map(({ at, failed }) => ({ agoMs: now - at, failed })),
@@ -115,7 +115,7 @@
   /** Drops the accounts of endpoints that are no longer listed. */
   keepOnly(rows: readonly EndpointRow[]): void {
     const kept = new Set(rows.map(keyOf));
-    this.accounts = this.accounts.filter((_account, key) => kept.has(key));
+    for (const key of this.accounts.keys()) if (!kept.has(key)) this.accounts.delete(key);
     this.trials = this.trials.filter((_at, key) => kept.has(key));
   }
 
@@ -133,6 +133,6 @@
   }
 
   private put(account: Account): void {
-    this.accounts = this.accounts.set(keyOf(account.row), account);
+    this.accounts.set(keyOf(account.row), account);
   }
 }
--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -6,11 +6,23 @@
 import type { OutcomeBook } from './outcomeBook.js';
 
 const PATH_REST_MS = 1000;
-const FULL_PART = 0.8;
+/** What a host said of its load counts for so long. */
 const LOAD_FRESH_MS = 1000;
+/** An endpoint that was slow is tried again: what was heard of its speed fades in this time. */
+const MEAN_FADES_MS = 10_000;
+/** So many endpoints are weighed against one another; of more, as many are drawn. */
+const WEIGHED = 8;
+/** What a request takes beside the endpoint's own time; differences of less than that say nothing. */
+const WAY_MS = 10;
+/** Another zone costs this part of the service's mean time: its bytes are dear, and its way is longer. */
+const OTHER_ZONE_PART = 0.2;
+/** A nearly full endpoint is slower than its mean time tells. */
+const CROWD_PART = 0.5;
+/** Estimates are blurred by this part, so that callers with the same news don't all go to the same endpoint. */
+const BLUR_PART = 0.2;
 
 /** Why an endpoint was not picked. */
-export type PassedOver = 'tried' | 'leaving' | 'in a maintenance window' | 'masked for all' | 'masked here' | 'path rests' | 'other zone' | 'less free' | 'not drawn';
+export type PassedOver = 'tried' | 'leaving' | 'in a maintenance window' | 'masked for all' | 'masked here' | 'path rests' | 'other zone' | 'slower or less free' | 'not drawn';
 
 export interface Choice {
   readonly row: EndpointRow;
@@ -33,18 +45,21 @@
   readonly tried: readonly EndpointRow[];
 }
 
-interface Heard {
-  readonly load: Load;
-  readonly at: Instant;
+interface Known {
+  /** Requests under way from here. */
+  own: number;
+  load: Load | null;
+  heardAt: Instant;
+  /** Requests that were under way from here when the load was heard. */
+  ownThen: number;
 }
 
 const keyOf = (row: EndpointRow): string => `${row.service}/${row.id}/${row.instance}/${row.nodeBoot}`;
-const sameEndpoint = (one: EndpointRow, other: EndpointRow): boolean => keyOf(one) === keyOf(other);
+const sameEndpoint = (one: EndpointRow, other: EndpointRow): boolean => one.id === other.id && keyOf(one) === keyOf(other);
 
-/** Picks an endpoint: two drawn at random from the own zone, the less occupied one taken. */
+/** Picks the endpoint that is expected to answer first: by the time its requests take, its load, and its zone. */
 export class Picker {
-  private inFlight: Table<string, number> = Table();
-  private heard: Table<string, Heard> = Table();
+  private readonly known = new Map<string, Known>();
   private resting: Table<NodeName, { readonly boot: BootId; readonly until: Instant }> = Table();
   private maskSeen: Table<string, Instant> = Table();
 
@@ -67,27 +82,25 @@
            ['path rests', (row) => this.isResting(row, now)], ['masked for all', isMaskedForAll], ['masked here', (row) => this.book.maskOf(row) !== null],
     ];
     const fit = filters.reduce((rows, [why, isOut]) => (rows.every(isOut) ? rows : split(rows, why, isOut)), open);
-    const own = fit.filter((row) => row.zone === this.zone);
-    const roomy = own.filter((row) => this.fullness(row, now) < FULL_PART);
-    const near = roomy.length > 0 ? own : fit;
-    if (near === own) passOver(fit.filter((row) => row.zone !== this.zone), 'other zone');
-    const first = near[Math.floor(this.random() * near.length)];
-    if (first === undefined) return { chosen: null, passedOver };
-    const rest = near.filter((row) => row !== first);
-    const second = rest[Math.floor(this.random() * rest.length)];
-    const chosen = second !== undefined && this.fullness(second, now) < this.fullness(first, now) ? second : first;
-    passOver(near.filter((row) => row === first || row === second).filter((row) => row !== chosen), 'less free');
-    passOver(near.filter((row) => row !== first && row !== second), 'not drawn');
+    const weighed = fit.length <= WEIGHED ? fit : this.drawn(fit);
+    const chosen = this.quickest(weighed, now);
+    if (chosen === null) return { chosen: null, passedOver };
+    passOver(weighed.filter((row) => row !== chosen), 'slower or less free');
+    if (weighed !== fit) passOver(fit.filter((row) => !weighed.includes(row)), 'not drawn');
     return { chosen: { row: chosen, isTrial: false }, passedOver };
   }
 
   started(row: EndpointRow): void {
-    this.shift(row, 1);
+    this.knownOf(row).own += 1;
   }
 
   ended(row: EndpointRow, load: Load | null): void {
-    this.shift(row, -1);
-    if (load !== null && load.slots > 0) this.heard = this.heard.set(keyOf(row), { load, at: this.clock.now() });
+    const known = this.knownOf(row);
+    known.own = Math.max(0, known.own - 1);
+    if (load === null || load.slots <= 0) return;
+    known.load = load;
+    known.heardAt = this.clock.now();
+    known.ownThen = known.own;
   }
 
   /** The way to a machine broke: others are tried first for a while. */
@@ -97,8 +110,7 @@
 
   keepOnly(rows: readonly EndpointRow[]): void {
     const kept = new Set(rows.map(keyOf));
-    this.heard = this.heard.filter((_heard, key) => kept.has(key));
-    this.inFlight = this.inFlight.filter((count, key) => kept.has(key) || count > 0);
+    for (const [key, { own }] of this.known) if (!kept.has(key) && own === 0) this.known.delete(key);
     this.maskSeen = this.maskSeen.filter((_since, key) => kept.has(key));
   }
 
@@ -122,14 +134,47 @@
     return rest !== undefined && rest.boot === row.nodeBoot && now < rest.until;
   }
 
-  private fullness(row: EndpointRow, now: Instant): number {
-    const own = this.inFlight.get(keyOf(row)) ?? 0;
-    const heard = this.heard.get(keyOf(row));
-    const told = heard !== undefined && now - heard.at < LOAD_FRESH_MS ? heard.load.running + heard.load.waiting : 0;
-    return Math.max(own, told) / Math.max(1, row.slots);
+  /** Some of many: the own zone's first, the others by lot. */
+  private drawn(rows: readonly EndpointRow[]): readonly EndpointRow[] {
+    const lots = rows.map((row) => ({ row, lot: this.random() + (row.zone === this.zone ? 0 : 0.5) }));
+    return lots.sort((one, other) => one.lot - other.lot).slice(0, WEIGHED).map(({ row }) => row);
   }
 
-  private shift(row: EndpointRow, by: number): void {
-    this.inFlight = this.inFlight.update(keyOf(row), 0, (count) => Math.max(0, count + by));
+  private quickest(rows: readonly EndpointRow[], now: Instant): EndpointRow | null {
+    const entries = rows.map((row) => this.known.get(keyOf(row)));
+    const heard = entries.flatMap((known) => (known !== undefined && known.load !== null && known.load.meanMs > 0 ? [known.load.meanMs] : []));
+    const usualMs = heard.length === 0 ? 1 : heard.reduce((sum, mean) => sum + mean, 0) / heard.length;
+    const means = entries.map((known) => (known === undefined || known.load === null || known.load.meanMs <= 0 ? usualMs
+      : usualMs + (known.load.meanMs - usualMs) * Math.max(0, 1 - (now - known.heardAt) / MEAN_FADES_MS)));
+    let best: EndpointRow | null = null;
+    let bestMs = Infinity;
+    rows.forEach((row, index) => {
+      const expectedMs = this.expected(row, means[index] as number, now) + (row.zone === this.zone ? 0 : OTHER_ZONE_PART * (usualMs + WAY_MS));
+      const blurredMs = expectedMs * (1 + BLUR_PART * this.random());
+      if (blurredMs >= bestMs) return;
+      best = row;
+      bestMs = blurredMs;
+    });
+    return best;
+  }
+
+  /** The time that a request would take: by the requests said or known to be there, it may have to wait for a slot. */
+  private expected(row: EndpointRow, meanMs: number, now: Instant): number {
+    const known = this.known.get(keyOf(row));
+    const told = known !== undefined && known.load !== null && now - known.heardAt < LOAD_FRESH_MS ? known.load.running + known.load.waiting + known.own - known.ownThen : 0;
+    const there = Math.max(known?.own ?? 0, told);
+    const slots = Math.max(1, row.slots);
+    const crowd = Math.min(1, there / slots);
+    const waitMs = there < slots ? 0 : ((there - slots + 1) * meanMs) / slots;
+    return WAY_MS + meanMs * (1 + CROWD_PART * crowd * crowd) + waitMs;
+  }
+
+  private knownOf(row: EndpointRow): Known {
+    const key = keyOf(row);
+    const known = this.known.get(key);
+    if (known !== undefined) return known;
+    const fresh: Known = { own: 0, load: null, heardAt: 0 as Instant, ownThen: 0 };
+    this.known.set(key, fresh);
+    return fresh;
   }
 }
--- a/src/process/traces.ts
+++ b/src/process/traces.ts
@@ -24,6 +24,7 @@
   constructor(private readonly most: number) {}
 
   keep(trace: Trace): void {
+    if (this.most === 0) return;
     this.kept.set(trace.order, trace);
     const [eldest] = this.kept.keys();
     if (this.kept.size > this.most && eldest !== undefined) this.kept.delete(eldest);
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -110,7 +110,7 @@
       headers: [...HeaderText.read(order.headers), ...this.speech.toEndpoint({ order: order.order as OrderId, instance: order.instance, leftMs: left() })], body: order.body, leftMs: left(),
       fault: () => faultNow() ?? seat.value.recheck(), read: (status, headers) => this.speech.ofAnswer(status, headers, order.request), onOdd: () => this.links.noteOdd(`${address}/${order.instance}`),
     });
-    seat.value.leave(answer.isOk() ? this.frame.clock.now() - start : undefined);
+    seat.value.leave(answer.isOk() && answer.value.status < 500 ? this.frame.clock.now() - start : undefined);
     if (answer.isErr() && answer.error.kind === 'seat-lost') return this.turnAway(order, answer.error.turnedAwayFor);
     if (answer.isErr() && answer.error.kind === 'endpoint-refusal') return this.turnAway(order, 'refused-by-endpoint');
     if (answer.isErr() && answer.error.kind === 'no-connection') this.endpoints.doubt(order.endpoint, order.instance);
