Draw the endpoint, the quicker the likelier; keep to the own zone mostly

Before: the quickest by a blurred estimate; an endpoint that had once been slow was never asked again, and three tests of masks waited in vain for it.

--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -14,12 +14,12 @@
 const WEIGHED = 8;
 /** What a request takes beside the endpoint's own time; differences of less than that say nothing. */
 const WAY_MS = 10;
-/** Another zone costs this part of the service's mean time: its bytes are dear, and its way is longer. */
-const OTHER_ZONE_PART = 0.2;
+/** The own zone is kept to as long as another is not quicker by more than this part: bytes between zones are dear. */
+const ZONE_PART = 0.3;
 /** A nearly full endpoint is slower than its mean time tells. */
 const CROWD_PART = 0.5;
-/** Estimates are blurred by this part, so that callers with the same news don't all go to the same endpoint. */
-const BLUR_PART = 0.2;
+/** How sharply the quicker is preferred; all keep a chance, so that callers with the same news don't all go to one endpoint. */
+const SHARPNESS = 5;
 
 /** Why an endpoint was not picked. */
 export type PassedOver = 'tried' | 'leaving' | 'in a maintenance window' | 'masked for all' | 'masked here' | 'path rests' | 'other zone' | 'slower or less free' | 'not drawn';
@@ -83,7 +83,7 @@
     ];
     const fit = filters.reduce((rows, [why, isOut]) => (rows.every(isOut) ? rows : split(rows, why, isOut)), open);
     const weighed = fit.length <= WEIGHED ? fit : this.drawn(fit);
-    const chosen = this.quickest(weighed, now);
+    const chosen = this.likely(weighed, now);
     if (chosen === null) return { chosen: null, passedOver };
     passOver(weighed.filter((row) => row !== chosen), 'slower or less free');
     if (weighed !== fit) passOver(fit.filter((row) => !weighed.includes(row)), 'not drawn');
@@ -140,33 +140,37 @@
     return lots.sort((one, other) => one.lot - other.lot).slice(0, WEIGHED).map(({ row }) => row);
   }
 
-  private quickest(rows: readonly EndpointRow[], now: Instant): EndpointRow | null {
+  /** Draws one, the quicker the likelier; one of the own zone that is nearly as quick and has room goes first. */
+  private likely(rows: readonly EndpointRow[], now: Instant): EndpointRow | null {
     const entries = rows.map((row) => this.known.get(keyOf(row)));
     const heard = entries.flatMap((known) => (known !== undefined && known.load !== null && known.load.meanMs > 0 ? [known.load.meanMs] : []));
     const usualMs = heard.length === 0 ? 1 : heard.reduce((sum, mean) => sum + mean, 0) / heard.length;
-    const means = entries.map((known) => (known === undefined || known.load === null || known.load.meanMs <= 0 ? usualMs
-      : usualMs + (known.load.meanMs - usualMs) * Math.max(0, 1 - (now - known.heardAt) / MEAN_FADES_MS)));
-    let best: EndpointRow | null = null;
-    let bestMs = Infinity;
-    rows.forEach((row, index) => {
-      const expectedMs = this.expected(row, means[index] as number, now) + (row.zone === this.zone ? 0 : OTHER_ZONE_PART * (usualMs + WAY_MS));
-      const blurredMs = expectedMs * (1 + BLUR_PART * this.random());
-      if (blurredMs >= bestMs) return;
-      best = row;
-      bestMs = blurredMs;
+    const weighed = rows.map((row, index) => {
+      const known = entries[index];
+      const meanMs = known === undefined || known.load === null || known.load.meanMs <= 0 ? usualMs
+        : usualMs + (known.load.meanMs - usualMs) * Math.max(0, 1 - (now - known.heardAt) / MEAN_FADES_MS);
+      const { expectedMs, hasRoom } = this.expected(row, meanMs, now);
+      return { row, expectedMs, hasRoom, weight: expectedMs ** -SHARPNESS };
     });
-    return best;
+    let rest = this.random() * weighed.reduce((sum, { weight }) => sum + weight, 0);
+    const drawn = weighed.find(({ weight }) => {
+      rest -= weight;
+      return rest < 0;
+    }) ?? weighed.at(-1);
+    if (drawn === undefined || drawn.row.zone === this.zone) return drawn?.row ?? null;
+    const near = weighed.filter(({ row, hasRoom, expectedMs }) => row.zone === this.zone && hasRoom && expectedMs <= drawn.expectedMs * (1 + ZONE_PART));
+    return near[Math.floor(this.random() * near.length)]?.row ?? drawn.row;
   }
 
   /** The time that a request would take: by the requests said or known to be there, it may have to wait for a slot. */
-  private expected(row: EndpointRow, meanMs: number, now: Instant): number {
+  private expected(row: EndpointRow, meanMs: number, now: Instant): { readonly expectedMs: number; readonly hasRoom: boolean } {
     const known = this.known.get(keyOf(row));
     const told = known !== undefined && known.load !== null && now - known.heardAt < LOAD_FRESH_MS ? known.load.running + known.load.waiting + known.own - known.ownThen : 0;
     const there = Math.max(known?.own ?? 0, told);
     const slots = Math.max(1, row.slots);
     const crowd = Math.min(1, there / slots);
     const waitMs = there < slots ? 0 : ((there - slots + 1) * meanMs) / slots;
-    return WAY_MS + meanMs * (1 + CROWD_PART * crowd * crowd) + waitMs;
+    return { expectedMs: WAY_MS + meanMs * (1 + CROWD_PART * crowd * crowd) + waitMs, hasRoom: there < slots };
   }
 
   private knownOf(row: EndpointRow): Known {
