Test broken answers, refusals and reused connections of the platform

Reused connections to endpoints came with platform/, and late surplus answers can only be told apart by their id. Tested: each kind of broken answer with requests that may and may not be repeated, max_attempts, late answers and late refusals, connections dropped idle and under a request, Connection: close and Keep-Alive.

--- a/src/fleet/platformEndpoint.ts
+++ b/src/fleet/platformEndpoint.ts
@@ -22,7 +22,7 @@
 
 /** How an endpoint of the platform treats a request; all but `dropsUnread` and `refuses` run it. */
 export type PlatformBehaviour =
-  | 'serves' | 'lateSurplus' | 'extraAtOnce' | 'cutOff' | 'answerLost' | 'resetAfterRun' | 'garbage' | 'noSeal' | 'otherId' | 'encoded' | 'fails' | 'closes' | 'dropsUnread' | 'refuses';
+  | 'serves' | 'lateSurplus' | 'lateRefusal' | 'extraAtOnce' | 'silent' | 'cutOff' | 'answerLost' | 'resetAfterRun' | 'garbage' | 'noSeal' | 'otherId' | 'encoded' | 'fails' | 'closes' | 'dropsUnread' | 'refuses';
 
 export interface PlatformPlace {
   readonly host: string;
@@ -36,6 +36,8 @@
   readonly connectionLimit?: number;
   readonly port?: number;
   readonly beatMs?: number;
+  /** An endpoint that does not beat is one that nobody knows of yet. */
+  readonly isMute?: boolean;
   /** What `Keep-Alive` promises for idle connections, in seconds. */
   readonly keepAliveSeconds?: number;
 }
@@ -63,6 +65,8 @@
   mostRunning = 0;
   connections = 0;
   probes = 0;
+  /** Answers that came late, in the place of another. */
+  surplusSent = 0;
   isAlive = true;
   /** Where it listens, or listened. */
   listenedAt = '';
@@ -92,6 +96,7 @@
     });
     const endpoint = new PlatformEndpoint(place, server);
     endpoint.listenedAt = endpoint.address;
+    if (place.isMute === true) return endpoint;
     await endpoint.beat();
     endpoint.resumeBeating();
     return endpoint;
@@ -207,7 +212,10 @@
     outgoing.once('close', () => this.busy.delete(socket));
     const late = this.surplus.get(socket);
     this.surplus.delete(socket);
-    if (late !== undefined) socket.write(late, 'latin1');
+    if (late !== undefined) {
+      this.surplusSent += 1;
+      socket.write(late, 'latin1');
+    }
     const chunks: Buffer[] = [];
     try {
       for await (const chunk of incoming) chunks.push(chunk as Buffer);
@@ -288,11 +296,15 @@
       case 'lateSurplus':
         this.surplus.set(socket, raw(body));
         return whole(200);
+      case 'lateRefusal':
+        this.surplus.set(socket, `HTTP/1.1 503 Service Unavailable\r\nattempt-id: ${id}\r\nrequest-not-run: 1\r\ncontent-length: 0\r\n\r\n`);
+        return whole(200);
       case 'extraAtOnce': return void socket.write(raw(body) + raw(body), 'latin1');
       case 'cutOff': return void socket.end(raw(body, body.length + 100), 'latin1');
       case 'garbage': return void socket.end('\u0001\u0002 this is no answer\r\n\r\n', 'latin1');
       case 'answerLost': return void socket.end();
       case 'resetAfterRun': return void socket.resetAndDestroy();
+      case 'silent':
       case 'dropsUnread':
       case 'refuses': return;
     }
--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -147,6 +147,17 @@
     return callJson<T>(method, `http://${this.machine(machine).host}:${PLATFORM_PORTS.outbound}${path}`, given.body, headers);
   }
 
+  /** Waits until a machine has saved enough of the allowance for one repeat of a route; requests that go well earn it. */
+  async saved(machine: string, route: string, earn: () => Promise<unknown>): Promise<void> {
+    const daemon = this.sidecars.get(machine);
+    await until(`a repeat of ${route} at ${machine}`, async () => {
+      await earn();
+      const state = await callJson<{ readonly allowance: readonly { readonly branch: string; readonly tokens: number }[] }>('GET', `http://${daemon?.adminAddress}/v1/state`);
+      const branches = state.body.allowance.filter(({ branch }) => branch === 'fleet' || branch.startsWith('service/') || branch === `binding/${route}`);
+      return branches.length >= 3 && branches.every(({ tokens }) => tokens >= 1);
+    });
+  }
+
   /** Starts an endpoint beside a machine's sidecar, of that machine's service. */
   async endpoint(machine: string, more: Partial<PlatformPlace> = {}): Promise<PlatformEndpoint> {
     const { host, service } = this.machine(machine);
