--- a/src/connection/listener.ts
+++ b/src/connection/listener.ts
@@ -45,6 +45,11 @@
     return Address.port(this.address);
   }
 
+  /** How long a connection may stay idle from now on, in milliseconds. */
+  keepIdle(idleMs: number): void {
+    this.server.keepAliveTimeout = idleMs;
+  }
+
   /** Stops listening, closes idle connections and resolves when the last running exchange has ended. */
   async close(): Promise<void> {
     await this.wire?.close();
--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -19,6 +19,10 @@
 /** An endpoint that is its own fence stays listed through this much silence: what is sent to a later holder of its address it turns away. */
 const FENCED_SILENCE_MS = 6000;
 const REFUSED_MOST = 2;
+/** A kind of request that takes less than this part of the mean is small: refusing it saves next to nothing. */
+const SMALL_PART = 0.6;
+const SMALL_RANK = 1000;
+const MOST_KINDS = 1000;
 
 /** What an endpoint says of itself in each beat. */
 export interface Announcement {
@@ -53,7 +57,7 @@
 }
 
 interface Waiter {
-  readonly priority: number;
+  readonly rank: number;
   readonly wake: (isFree: boolean) => void;
 }
 interface Nonce {
@@ -72,6 +76,7 @@
   ended: readonly (() => void)[];
   /** How long its requests lately took, in milliseconds; 0 before the first. */
   meanMs: number;
+  readonly meanMsOf: Map<string, number>;
   /** Connections refused in a row. */
   refused: number;
 }
@@ -81,6 +86,9 @@
   /** 0 goes first. */
   readonly priority: number;
   readonly mostMs: number;
+  /** Requests of one kind take a like time; one that takes much less than most here goes before them and may wait longer. */
+  readonly kind?: string;
+  readonly mostMsIfSmall?: number;
 }
 
 /** What an order must find at its endpoint. */
@@ -117,7 +125,7 @@
     }
     const isSame = known !== undefined && known.said.instance === said.instance && known.said.service === said.service && known.said.address === said.address;
     if (known !== undefined && !isSame) this.remove(said.id);
-    const spot: Standing = isSame ? known : { said, provenAt: -Infinity as Instant, given: [], leaving: false, running: 0, waiters: [], ended: [], meanMs: 0, refused: 0 };
+    const spot: Standing = isSame ? known : { said, provenAt: -Infinity as Instant, given: [], leaving: false, running: 0, waiters: [], ended: [], meanMs: 0, meanMsOf: new Map(), refused: 0 };
     const before = this.view(spot, now);
     spot.said = said;
     spot.leaving = spot.leaving || said.leaving;
@@ -146,15 +154,20 @@
     this.onChange();
   }
 
-  /** Takes no new order from now on; resolves once the running ones have ended. */
-  async signOff(id: EndpointId, instance: InstanceId): Promise<Result<void, UnknownEndpoint>> {
+  /** Takes no new order from now on; resolves once the running ones have ended, or the time is up. */
+  async signOff(id: EndpointId, instance: InstanceId, mostMs = Infinity): Promise<Result<void, UnknownEndpoint>> {
     const spot = this.standing.get(id);
     if (this.departed.has(instance)) return ok(undefined);
     if (spot === undefined || spot.said.instance !== instance) return err(new UnknownEndpoint(`${id} of instance ${instance} is not here`));
     spot.leaving = true;
     this.turnWaitersAway(spot);
     this.onChange();
-    if (spot.running > 0) await new Promise<void>((settle) => { spot.ended = [...spot.ended, settle]; });
+    if (spot.running > 0) {
+      await new Promise<void>((settle) => {
+        spot.ended = [...spot.ended, settle];
+        if (mostMs !== Infinity) setTimeout(settle, mostMs).unref();
+      });
+    }
     this.departed = new Map([...[...this.departed].filter(([, at]) => this.clock.now() - at < DEPARTED_KEPT_MS), [instance, this.clock.now()]]);
     if (this.standing.get(id) === spot) this.remove(id);
     return ok(undefined);
@@ -197,10 +210,13 @@
     if (fault !== null) return err(fault);
     const spot = this.standing.get(wanted.endpoint) as Standing;
     if (spot.running >= spot.said.slots) {
-      const ahead = spot.waiters.filter((waiter) => waiter.priority <= waiting.priority).length;
+      const isSmall = this.isSmall(spot, waiting.kind);
+      const rank = waiting.priority - (isSmall ? SMALL_RANK : 0);
+      const mostMs = isSmall ? waiting.mostMsIfSmall ?? waiting.mostMs : waiting.mostMs;
+      const ahead = spot.waiters.filter((waiter) => waiter.rank <= rank).length;
       const expectedMs = (ahead + 1) * spot.meanMs / spot.said.slots;
-      if (spot.waiters.length >= spot.said.slots * QUEUE_PER_SLOT || waiting.mostMs <= 0 || expectedMs > waiting.mostMs) return err('full');
-      if (!(await this.waitTurn(spot, waiting))) return err(this.faultOf(wanted) ?? 'full');
+      if (spot.waiters.length >= spot.said.slots * QUEUE_PER_SLOT || mostMs <= 0 || expectedMs > mostMs) return err('full');
+      if (!(await this.waitTurn(spot, rank, mostMs))) return err(this.faultOf(wanted) ?? 'full');
     }
     else spot.running += 1;
     const late = this.faultOf(wanted);
@@ -209,7 +225,7 @@
       return err(late);
     }
     return ok({ address: spot.said.address, recheck: () => this.faultOf(wanted), leave: (tookMs) => {
-      if (tookMs !== undefined) spot.meanMs = spot.meanMs === 0 ? tookMs : spot.meanMs + LATEST_PART * (tookMs - spot.meanMs);
+      if (tookMs !== undefined) this.learn(spot, waiting.kind, tookMs);
       this.leave(spot);
     } });
   }
@@ -232,10 +248,23 @@
   }
 
   /** A seat that comes free is handed on to the next who waits, so `running` stays as it is. */
-  private waitTurn(spot: Standing, { priority, mostMs }: Waiting): Promise<boolean> {
+  private learn(spot: Standing, kind: string | undefined, tookMs: number): void {
+    spot.meanMs = spot.meanMs === 0 ? tookMs : spot.meanMs + LATEST_PART * (tookMs - spot.meanMs);
+    if (kind === undefined) return;
+    const former = spot.meanMsOf.get(kind);
+    if (former === undefined && spot.meanMsOf.size >= MOST_KINDS) spot.meanMsOf.clear();
+    spot.meanMsOf.set(kind, former === undefined ? tookMs : former + LATEST_PART * (tookMs - former));
+  }
+
+  private isSmall(spot: Standing, kind: string | undefined): boolean {
+    const mean = kind === undefined ? undefined : spot.meanMsOf.get(kind);
+    return mean !== undefined && mean < SMALL_PART * spot.meanMs;
+  }
+
+  private waitTurn(spot: Standing, rank: number, mostMs: number): Promise<boolean> {
     return new Promise((settle) => {
       const waiter: Waiter = {
-        priority,
+        rank,
         wake: (isFree) => {
           clearTimeout(timer);
           spot.waiters = spot.waiters.filter((one) => one !== waiter);
@@ -243,7 +272,7 @@
         },
       };
       const timer = setTimeout(() => waiter.wake(false), mostMs);
-      const place = spot.waiters.findIndex((other) => other.priority > priority);
+      const place = spot.waiters.findIndex((other) => other.rank > rank);
       spot.waiters = place < 0 ? [...spot.waiters, waiter] : [...spot.waiters.slice(0, place), waiter, ...spot.waiters.slice(place)];
     });
   }
--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -1,7 +1,7 @@
 import { Map as Table } from 'immutable';
 import type { Load } from '../connection/hopCalls.js';
 import { MaskDigest, type EndpointRow } from '../version/digests.js';
-import type { BootId, Instant, NodeName, ServiceName, ZoneName } from './brands.js';
+import type { BindingId, BootId, Instant, NodeName, ServiceName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
 import type { OutcomeBook } from './outcomeBook.js';
 
@@ -10,6 +10,8 @@
 const LOAD_FRESH_MS = 1000;
 /** An endpoint that was slow is tried again: what was heard of its speed fades in this time. */
 const MEAN_FADES_MS = 10_000;
+/** What a host said of being full counts for so long. */
+const FULL_FRESH_MS = 60;
 /** So many endpoints are weighed against one another; of more, as many are drawn. */
 const WEIGHED = 8;
 /** What a request takes beside the endpoint's own time; differences of less than that say nothing. */
@@ -22,7 +24,7 @@
 const SHARPNESS = 5;
 
 /** Why an endpoint was not picked. */
-export type PassedOver = 'tried' | 'leaving' | 'in a maintenance window' | 'masked for all' | 'masked here' | 'path rests' | 'other zone' | 'slower or less free' | 'not drawn';
+export type PassedOver = 'tried' | 'leaving' | 'in a maintenance window' | 'masked for all' | 'masked here' | 'path rests' | 'full' | 'slower or less free' | 'not drawn';
 
 export interface Choice {
   readonly row: EndpointRow;
@@ -43,6 +45,8 @@
   readonly service: ServiceName;
   readonly isRepeatable: boolean;
   readonly tried: readonly EndpointRow[];
+  /** Endpoints that just refused a request of the same binding for being full are passed over. */
+  readonly binding: BindingId;
 }
 
 interface Known {
@@ -52,6 +56,7 @@
   heardAt: Instant;
   /** Requests that were under way from here when the load was heard. */
   ownThen: number;
+  readonly fullAt: Map<BindingId, Instant>;
 }
 
 const keyOf = (row: EndpointRow): string => `${row.service}/${row.id}/${row.instance}/${row.nodeBoot}`;
@@ -82,11 +87,12 @@
            ['path rests', (row) => this.isResting(row, now)], ['masked for all', isMaskedForAll], ['masked here', (row) => this.book.maskOf(row) !== null],
     ];
     const fit = filters.reduce((rows, [why, isOut]) => (rows.every(isOut) ? rows : split(rows, why, isOut)), open);
-    const weighed = fit.length <= WEIGHED ? fit : this.drawn(fit);
+    const roomy = split(fit, 'full', (row) => this.isFull(row, query.binding, now));
+    const weighed = roomy.length <= WEIGHED ? roomy : this.drawn(roomy);
     const chosen = this.likely(weighed, now);
     if (chosen === null) return { chosen: null, passedOver };
     passOver(weighed.filter((row) => row !== chosen), 'slower or less free');
-    if (weighed !== fit) passOver(fit.filter((row) => !weighed.includes(row)), 'not drawn');
+    if (weighed !== roomy) passOver(roomy.filter((row) => !weighed.includes(row)), 'not drawn');
     return { chosen: { row: chosen, isTrial: false }, passedOver };
   }
 
@@ -103,6 +109,11 @@
     known.ownThen = known.own;
   }
 
+  /** Its host refused a request of this binding for being full. */
+  full(row: EndpointRow, binding: BindingId): void {
+    this.knownOf(row).fullAt.set(binding, this.clock.now());
+  }
+
   /** The way to a machine broke: others are tried first for a while. */
   rest(row: EndpointRow): void {
     this.resting = this.resting.set(row.node, { boot: row.nodeBoot, until: (this.clock.now() + PATH_REST_MS) as Instant });
@@ -173,11 +184,16 @@
     return { expectedMs: WAY_MS + meanMs * (1 + CROWD_PART * crowd * crowd) + waitMs, hasRoom: there < slots };
   }
 
+  private isFull(row: EndpointRow, binding: BindingId, now: Instant): boolean {
+    const fullAt = this.known.get(keyOf(row))?.fullAt.get(binding);
+    return fullAt !== undefined && now - fullAt < FULL_FRESH_MS;
+  }
+
   private knownOf(row: EndpointRow): Known {
     const key = keyOf(row);
     const known = this.known.get(key);
     if (known !== undefined) return known;
-    const fresh: Known = { own: 0, load: null, heardAt: 0 as Instant, ownThen: 0 };
+    const fresh: Known = { own: 0, load: null, heardAt: 0 as Instant, ownThen: 0, fullAt: new Map() };
     this.known.set(key, fresh);
     return fresh;
   }
--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { statSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
 import type { Result, ResultAsync } from 'neverthrow';
 import { pino, type Logger } from 'pino';
@@ -34,6 +35,8 @@
   start(frame: Frame<S>): ResultAsync<Running<S>, Defect>;
 }
 
+const WATCH_MS = 2000;
+
 const refuseToRun = (name: string, line: string, code: number): never => {
   process.stderr.write(`${name}: ${line.replace(/\s*\n\s*/g, ' ')}\n`);
   process.exit(code);
@@ -46,6 +49,21 @@
   new Gauge({ name: 'nodejs_heap_size_used_bytes', help: 'Heap in use', registers: [metrics], collect() { this.set(process.memoryUsage().heapUsed); } });
 };
 
+/** Calls back when a file's time or size has changed: a settings file may be laid anew without a signal. */
+const watchFile = (file: string, changed: () => void): void => {
+  const mark = (): string => {
+    const found = statSync(file, { throwIfNoEntry: false });
+    return found === undefined ? '' : `${found.mtimeMs}/${found.size}`;
+  };
+  let known = mark();
+  setInterval(() => {
+    const now = mark();
+    if (now === known || now === '') return;
+    known = now;
+    changed();
+  }, WATCH_MS).unref();
+};
+
 /** Runs a daemon from its command line to its end: settings, logs, signals, exit codes. */
 export const runProgram = async <S extends PlaceSettings>(program: Program<S>): Promise<void> => {
   const line = readCommandLine(program.table, process.argv.slice(2));
@@ -82,11 +100,13 @@
   };
   process.on('SIGTERM', () => stop('SIGTERM'));
   process.on('SIGINT', () => stop('SIGINT'));
-  process.on('SIGHUP', () => {
+  const reload = (): void => {
     settingsOf().match((fresh) => {
       log.info({ event: 'reloaded' });
       log.level = fresh.logLevel;
       running.reload(fresh);
     }, (defect) => log.error({ event: 'reload-turned-away', defect: defect.describe() }));
-  });
+  };
+  process.on('SIGHUP', reload);
+  if (line.value.settingsFile !== null) watchFile(line.value.settingsFile, reload);
 };
--- a/src/process/shareLease.ts
+++ b/src/process/shareLease.ts
@@ -12,6 +12,9 @@
 const ASK_MS = 1000;
 /** This part of every allowance is split evenly for good, so that repeats go on while no directory can be asked. */
 const FLOOR_PART = 0.5;
+/** Room for nodes that join. */
+const SPARE_PART = 1.25;
+const SEEN_MS = 120_000;
 
 /** `share` is null when the directory that was asked does not hold the duty. */
 export interface ShareAnswer {
@@ -28,6 +31,7 @@
 /** This node's part of the allowances: a fixed floor, and a share lent by the directory that has the duty. */
 export class ShareLease {
   private share = 0;
+  private seen: { readonly count: number; readonly at: Instant } = { count: 0, at: 0 as Instant };
   private until: Instant = 0 as Instant;
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly highestNodes: number, private readonly need: () => ShareNeed) {
@@ -42,13 +46,21 @@
   /** The part of every branch's shares that this node may use now. */
   part(): number {
     const lent = this.frame.clock.now() < this.until ? this.share : 0;
-    return FLOOR_PART / this.highestNodes + (1 - FLOOR_PART) * lent;
+    return FLOOR_PART / this.mostNodes() + (1 - FLOOR_PART) * lent;
+  }
+
+  /** The nodes that may share the floor: as the setting says, or more if more were seen; what a split hides stays counted. */
+  private mostNodes(): number {
+    const now = this.frame.clock.now();
+    const here = Math.ceil(this.membership.having('switchboard').length * SPARE_PART);
+    if (here >= this.seen.count || now - this.seen.at > SEEN_MS) this.seen = { count: here, at: now };
+    return Math.max(this.highestNodes, this.seen.count);
   }
 
   private async ask(): Promise<void> {
     const start = this.frame.clock.now();
     const { wants, serviceShares } = this.need();
-    const least = Math.max(0, 1 / Math.max(1, serviceShares) - FLOOR_PART / this.highestNodes) / (1 - FLOOR_PART);
+    const least = Math.max(0, 1 / Math.max(1, serviceShares) - FLOOR_PART / this.mostNodes()) / (1 - FLOOR_PART);
     const ask: ShareAsk = { node: this.frame.settings.node, boot: this.frame.boot, carried: start < this.until ? this.share : 0, wants, least: least * (1 + 1e-6) };
     await Promise.all(this.membership.having('directory').map(async (member) => {
       const answer: Result<ShareAnswer, WireDefect> = await this.wire.call<ShareAnswer>(member.wire, NodePath.shares, ask, ASK_MS, shareAnswerShape);
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -48,6 +48,15 @@
   windows: { check: Joi.array().items(Joi.string().min(1)).default([]), help: 'iCalendar file of maintenance windows; may be given more than once', many: true },
 };
 
+/** What a repeated run calls counts as repeats too, where it calls: this part of each allowance is kept back for that. */
+const KEPT_BACK_PART = 0.3;
+/** The fleet as a whole may repeat as much as so many services. */
+const FLEET_SERVICES = 10;
+const keptBack = ({ earn, serviceShares }: DirectorySettings): AllowanceDefaults => {
+  const shares = serviceShares === undefined ? undefined : Math.floor(serviceShares * (1 - KEPT_BACK_PART));
+  return { earn: earn === undefined ? undefined : earn * (1 - KEPT_BACK_PART), fleetShares: shares === undefined ? undefined : FLEET_SERVICES * shares, serviceShares: shares, bindingShares: shares };
+};
+
 /** How many nodes are asked for the masks in force before a new holder of a duty makes its first. */
 const NODES_ASKED = 5;
 
@@ -108,7 +117,7 @@
     allowances: () => ({ rules: follower.manifest()?.manifest.allowance ?? null, shares: desk.shareViews() }),
   });
   const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
-    ...(door === null || settings.operatorPort === undefined ? [] : [Listener.open(door(clerk, { earn: settings.earn, serviceShares: settings.serviceShares }), settings.listenHost, settings.operatorPort)])]);
+    ...(door === null || settings.operatorPort === undefined ? [] : [Listener.open(door(clerk, keptBack(settings)), settings.listenHost, settings.operatorPort)])]);
   if (listeners.isErr()) return err(listeners.error);
   desk.start();
   log.info({ event: 'listening', wire: listeners.value[0]?.address, admin: listeners.value[1]?.address });
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -62,6 +62,8 @@
   partingMs: { check: millisSetting(1500, 0), help: 'how long a stopping switchboard goes on taking orders' },
 };
 
+const MOST_HEADER_BYTES = 64 * 1024;
+
 const explainShape = Joi.object({ method: Joi.string().required(), url: Joi.string().required(), host: Joi.string().allow('').required() });
 
 const start = async (frame: Frame<SwitchboardSettings>, doors: SwitchboardDoors): Promise<Result<Running<SwitchboardSettings>, Defect>> => {
@@ -126,7 +128,7 @@
   });
   const listeners = await ResultAsync.combine([
     Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
-    Listener.openPlain(orders, settings.listenHost, settings.orderPort), Listener.open(beats as unknown as Hono, settings.listenHost, settings.beatPort),
+    Listener.openPlain(orders, settings.listenHost, settings.orderPort, { maxHeaderSize: MOST_HEADER_BYTES }), Listener.open(beats as unknown as Hono, settings.listenHost, settings.beatPort),
     ...(settings.readyPort === undefined ? [] : [Listener.open(doors.ready(isReady), settings.listenHost, settings.readyPort)]),
   ]);
   if (listeners.isErr()) return err(listeners.error);
@@ -134,7 +136,10 @@
   delivery.start();
   reporter.start();
   shares.start();
-  setInterval(() => endpoints.sweep(), 500).unref();
+  setInterval(() => {
+    endpoints.sweep();
+    orderDoor.keepIdle(delivery.now().manifest.limits.idleMs);
+  }, 500).unref();
   setInterval(() => void probeOverdue(), 1000).unref();
   log.info({ event: 'listening', wire: wireDoor.address, admin: adminDoor.address, orders: orderDoor.address, beats: beatDoor.address });
   return ok({
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -40,6 +40,8 @@
 const NOTHING_RETRY_MS = 250;
 const LOOK_UP_MS = 1000;
 const LOOK_UP_REST_MS = 50;
+/** So many hosts may say that they are full before the caller is told. */
+const FULL_MOST = 2;
 
 export interface ForwarderParts {
   readonly delivery: Delivery;
@@ -107,9 +109,9 @@
       order, given, request: facts.id ?? order, callerLeftMs: facts.leftMs ?? Infinity, start: this.frame.clock.now(), onward: null, binding: matched.value,
       service: Manifest.draw(matched.value, this.parts.random), inForce, hop: 0, picks: [],
     };
-    const owner = new OrderOwner({
+    const owner: OrderOwner = new OrderOwner({
       isRepeatable: () => Manifest.isRepeatable(trip.binding, given.method), leftMs: () => this.left(trip), attempts: () => trip.binding.attempts,
-      mayAskOn: () => trip.binding.aimMs === null || this.held(trip) < ASK_ON_SHARE * trip.binding.aimMs,
+      mayAskOn: () => trip.binding.aimMs === null || (this.held(trip) < ASK_ON_SHARE * trip.binding.aimMs && owner.history().filter((round) => round.detail === 'full').length < FULL_MOST),
     });
     this.parts.allowance.earn(trip.service, trip.binding.id);
     const ending = await this.obey(trip, owner);
@@ -129,7 +131,7 @@
     const blank = { order: 'hypothetical' as OrderId, at: new Date(), method: target.method, url: target.url, serial: inForce.serial, rounds: [], tookMs: 0 };
     return inForce.matcher.match(target).match<Trace>((binding) => {
       const service = Manifest.draw(binding, this.parts.random);
-      const pick = this.parts.picker.pick({ service, isRepeatable: Manifest.isRepeatable(binding, target.method), tried: [] }, this.parts.delivery.tables(service), false);
+      const pick = this.parts.picker.pick({ service, isRepeatable: Manifest.isRepeatable(binding, target.method), tried: [], binding: binding.id }, this.parts.delivery.tables(service), false);
       return { ...blank, binding: binding.id, service, picks: [pick], ending: pick.chosen === null ? 'not-run: no-endpoint' : 'not sent: asked only' };
     }, (defect) => ({ ...blank, binding: null, service: null, picks: [], ending: `not-run: ${defect.kind}` }));
   }
@@ -164,7 +166,7 @@
 
   private pick(trip: Trip, tried: readonly EndpointRow[], round: RoundKind): OrderEvent {
     const { service, binding: { id } } = trip;
-    const query = { service, isRepeatable: Manifest.isRepeatable(trip.binding, trip.given.method), tried };
+    const query = { service, isRepeatable: Manifest.isRepeatable(trip.binding, trip.given.method), tried, binding: id };
     const pick = this.parts.picker.pick(query, this.parts.delivery.tables(service));
     trip.picks = [...trip.picks, pick];
     if (pick.chosen === null) return { kind: 'nonePicked' };
@@ -187,6 +189,7 @@
       ? { kind: 'verdict' as const, verdict: await this.parts.hosting.run(hopOrder) } : await this.send(hopOrder, row);
     this.parts.picker.ended(row, event.kind === 'verdict' ? event.verdict.load : null);
     this.count(row, event);
+    if (event.kind === 'verdict' && event.verdict.kind === 'turnedAway' && event.verdict.cause === 'full') this.parts.picker.full(row, trip.binding.id);
     return event;
   }
 
@@ -238,7 +241,7 @@
 
   /** When it is worth coming back after a refusal. */
   private retryAfter(trip: Trip, owner: OrderOwner): number {
-    const wasFull = owner.history().some((round) => round.detail === 'full' || round.detail === 'refused-by-endpoint');
+    const wasFull = trip.picks.at(-1)?.passedOver.some(({ why }) => why === 'full') === true || owner.history().some((round) => round.detail === 'full' || round.detail === 'refused-by-endpoint');
     return wasFull ? FULL_RETRY_SHARE * (trip.binding.aimMs ?? trip.binding.cutoffMs) : NOTHING_RETRY_MS;
   }
 
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -121,14 +121,14 @@
     );
   }
 
-  /** The time that a request may wait here, by its binding's aim and what its caller's switchboard already took of it. */
   private waitingOf(order: HopOrder, leftMs: number, hereMs: number): Waiting {
     const binding = this.manifest.bindingOf(order.binding);
     const priority = binding?.priority ?? 0;
-    const aimMs = binding?.aimMs ?? null;
     const mostMs = leftMs * QUEUE_SHARE;
-    if (aimMs === null) return { priority, mostMs };
-    return { priority, mostMs: Math.min(mostMs, aimMs * (priority === 0 ? HIGHEST_AIM_SHARE : AIM_SHARE) - order.heldMs - hereMs) };
+    const aimMs = binding?.aimMs ?? null;
+    const agedMs = order.heldMs + hereMs;
+    const patience = aimMs === null ? mostMs : Math.min(mostMs, aimMs * (priority === 0 ? HIGHEST_AIM_SHARE : AIM_SHARE) - agedMs);
+    return { priority, kind: order.binding, mostMs: patience, mostMsIfSmall: mostMs };
   }
 
   private turnAway(order: HopOrder, cause: TurnAwayCause): HopVerdict {
--- a/src/version/manifest.ts
+++ b/src/version/manifest.ts
@@ -42,7 +42,9 @@
 /** Allowance rules for manifests that name none; what is not given stays as opalstair has it. */
 export interface AllowanceDefaults {
   readonly earn?: number | undefined;
+  readonly fleetShares?: number | undefined;
   readonly serviceShares?: number | undefined;
+  readonly bindingShares?: number | undefined;
 }
 
 /** What callers may send, and how long they may take or stay idle. */
@@ -171,7 +173,7 @@
     if (knownBindings.has(binding.id)) foundFaults.push({ path: `${path}.id`, reason: `binding "${binding.id}" is named twice` });
     knownBindings.add(binding.id);
     binding.split.forEach(({ service }) => {
-      if (!knownServices.has(service)) foundFaults.push({ path: `${path}.service`, reason: `service "${service}" is not among services` });
+      if (!knownServices.has(service)) foundFaults.push({ path: binding.split.length === 1 ? `${path}.service` : `${path}.split`, reason: `service "${service}" is not among services` });
     });
     if (new Set(binding.split.map(({ service }) => service)).size < binding.split.length) foundFaults.push({ path: `${path}.split`, reason: 'names a service twice' });
     if (!binding.split.some(({ weight }) => weight > 0)) foundFaults.push({ path: `${path}.split`, reason: 'no part has a weight above 0' });
--- a/test/platformConfiguration.test.ts
+++ b/test/platformConfiguration.test.ts
@@ -60,6 +60,7 @@
   'a kind that there is not': ['routes[0].route_kind', (version) => with1(version, { route_kind: 'sometimes' })],
   'a time without its unit': ['routes[0].timeout', (version) => with1(version, { timeout: '1500' })],
   'weights that are all 0': ['routes[0].traffic_split', (version) => with1(version, { service: undefined, traffic_split: [{ service: 'line', weight: 0 }, { service: 'port', weight: 0 }] })],
+  'a split with a service that is not there': ['routes[0].traffic_split', (version) => with1(version, { service: undefined, traffic_split: [{ service: 'line', weight: 1 }, { service: 'nowhere', weight: 1 }] })],
   'host and prefix twice': ['routes[1].path_prefix', (version) => configurationOf(version, [routeOf('r-1', '/lines/'), routeOf('r-2', '/lines/')])],
   'a name twice': ['routes[1].name', (version) => configurationOf(version, [routeOf('r-1', '/lines/'), routeOf('r-1', '/ports/')])],
   'routes that are no list': ['routes', (version) => ({ ...good(version), routes: 'all' })],
