--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -154,12 +154,11 @@
   /** Draws one, the quicker the likelier; one of the own zone that is nearly as quick and has room goes first. */
   private likely(rows: readonly EndpointRow[], now: Instant): EndpointRow | null {
     const entries = rows.map((row) => this.known.get(keyOf(row)));
-    const heard = entries.flatMap((known) => (known !== undefined && known.load !== null && known.load.meanMs > 0 ? [known.load.meanMs] : []));
-    const usualMs = heard.length === 0 ? 1 : heard.reduce((sum, mean) => sum + mean, 0) / heard.length;
+    const freshness = entries.map((known) => (known === undefined || known.load === null || known.load.meanMs <= 0 ? 0 : Math.max(0, 1 - (now - known.heardAt) / MEAN_FADES_MS)));
+    const sureness = freshness.reduce((sum, part) => sum + part, 0);
+    const usualMs = sureness === 0 ? 1 : entries.reduce((sum, known, index) => sum + (known?.load?.meanMs ?? 0) * (freshness[index] ?? 0), 0) / sureness;
     const weighed = rows.map((row, index) => {
-      const known = entries[index];
-      const meanMs = known === undefined || known.load === null || known.load.meanMs <= 0 ? usualMs
-        : usualMs + (known.load.meanMs - usualMs) * Math.max(0, 1 - (now - known.heardAt) / MEAN_FADES_MS);
+      const meanMs = usualMs + ((entries[index]?.load?.meanMs ?? usualMs) - usualMs) * (freshness[index] ?? 0);
       const { expectedMs, hasRoom } = this.expected(row, meanMs, now);
       return { row, expectedMs, hasRoom, weight: expectedMs ** -SHARPNESS };
     });
