--- a/src/connection/speech.ts
+++ b/src/connection/speech.ts
@@ -46,6 +46,8 @@
   onward(raw: RawHeaders, callingService: string | null): RawHeaders;
   toEndpoint(facts: EndpointFacts): RawHeaders;
   ofAnswer(status: number, raw: RawHeaders, request: string): AnswerFacts;
+  /** The instance that a probe's answer names; null when it names none. */
+  instanceOf(raw: RawHeaders): string | null;
   /** Headers for the caller, on top of the endpoint's. */
   withAnswer(order: string): RawHeaders;
   tell(answer: OwnAnswer): { readonly headers: RawHeaders; readonly body: Uint8Array };
@@ -63,6 +65,7 @@
     const named = Headers.valueOf(raw, 'opalstair-order');
     return { isOwn: named === null ? null : named === request, isNotRun: Headers.valueOf(raw, 'opalstair-not-run') !== null, fault: null };
   },
+  instanceOf: (raw) => Headers.valueOf(raw, 'opalstair-instance'),
   withAnswer: (order) => ['opalstair-order', order],
   tell: ({ order, status, outcome, reason, detail, retryAfterMs }) => ({
     headers: ['content-type', 'application/problem+json', 'opalstair-outcome', outcome, 'opalstair-order', order, ...(retryAfterMs === null ? [] : ['retry-after', String(Math.max(1, Math.ceil(retryAfterMs / 1000)))])],
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -55,7 +55,7 @@
     const registers = [frame.metrics];
     const mended = new Counter({ name: 'opalstair_copies_mended_total', help: 'Old copies that were written anew', registers });
     this.defects = new Counter({ name: 'opalstair_disk_defects_total', help: 'Writes to the disk that failed', labelNames: ['kind'], registers });
-    const holder = `${frame.settings.node}@${frame.boot}`;
+    const holder = `${frame.settings.node}/${replica.id}@${frame.boot}`;
     this.owners = new Map(OWNED_KEYS.map((key) => [key, new KeyOwner(key, holder, this, frame.clock, (entry) => this.spread(key, entry), () => mended.inc(), key === ROSTER_KEY ? (entry) => (entry.value as Roster).members : undefined)]));
     this.rosterOwner = this.owners.get(ROSTER_KEY) as KeyOwner;
     this.rosterKeeper = new RosterKeeper(this.rosterOwner, () => this.voters(), (spare, members) => this.copyTo(spare, members), frame.clock, rules.size, rules.replaceAfterMs);
--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -120,7 +120,7 @@
       if (id !== said.id && other.said.address === said.address) this.remove(id);
     }
     const known = this.standing.get(said.id);
-    if (known !== undefined && known.said.instance === said.instance && said.sequence !== null && said.sequence <= (known.said.sequence ?? -1)) {
+    if (known !== undefined && known.said.instance === said.instance && said.sequence !== null && said.sequence <= (known.said.sequence ?? -2)) {
       return ok({ nonce: '', counted: false, leaving: known.leaving, running: known.running });
     }
     const isSame = known !== undefined && known.said.instance === said.instance && known.said.service === said.service && known.said.address === said.address;
@@ -143,6 +143,11 @@
     return ok({ nonce, counted, leaving: spot.leaving, running: spot.running });
   }
 
+  /** Whether an endpoint at this address has announced itself. */
+  has(address: Address): boolean {
+    return [...this.standing.values()].some((spot) => spot.said.address === address);
+  }
+
   /** It took no connection: until its next beat it counts as silent, and the directories hear of it at once; a fenced one after two in a row. */
   doubt(id: EndpointId, instance: InstanceId): void {
     const spot = this.standing.get(id);
--- a/src/process/members.ts
+++ b/src/process/members.ts
@@ -73,6 +73,10 @@
   readonly start: Instant;
 }
 
+/** The whole list costs bytes that grow with the mesh, so in calm times it is asked for seldom. */
+const SYNC_PROBES = 4;
+const CALM_PROBES = 20;
+
 const rank: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, gone: 2 };
 const keyOf = (member: Member): string => `${member.role}/${member.name}`;
 
@@ -91,6 +95,8 @@
   private lastProbe: Instant;
   private lastSync: Instant;
   private refutations = 0;
+  private lastNews: Instant = -Infinity as Instant;
+  private lastPartner: Instant = -Infinity as Instant;
 
   constructor(self: Member, private readonly rules: MemberRules, private seeds: readonly Address[], private readonly clock: Clock, private readonly random: () => number) {
     this.self = self;
@@ -126,9 +132,9 @@
       this.lastProbe = now;
       commands.push(...this.startProbe(now));
     }
-    if (now - this.lastSync >= 4 * this.rules.probeMs) {
+    if (now - this.lastSync >= SYNC_PROBES * this.rules.probeMs) {
       this.lastSync = now;
-      commands.push(...this.askForAll());
+      commands.push(...this.askForAll(now));
     }
     return commands;
   }
@@ -201,10 +207,13 @@
     return favour === undefined ? [] : [this.send(favour.asker, 'ack', favour.askerNumber)];
   }
 
-  private askForAll(): readonly MemberCommand[] {
+  /** Seeds that are not known are asked each time; a random member only after news, and now and then all the same. */
+  private askForAll(now: Instant): readonly MemberCommand[] {
     const known = new Set(this.living().map((member) => member.member));
     const strangers = this.seeds.filter((seed) => !known.has(seed) && seed !== this.self.member);
-    const partner = this.pick(1, '').map((member) => member.member);
+    const isDue = now - this.lastNews < CALM_PROBES * this.rules.probeMs || now - this.lastPartner >= CALM_PROBES * this.rules.probeMs;
+    const partner = isDue ? this.pick(1, '').map((member) => member.member) : [];
+    if (isDue) this.lastPartner = now;
     return [...strangers, ...partner].map((to) => this.send(to, 'sync', 0));
   }
 
@@ -231,7 +240,10 @@
   }
 
   private put(member: Member): readonly MemberCommand[] {
-    this.rows = new Map([...this.rows, [keyOf(member), { member, since: this.clock.now(), tellings: 0 }]]);
+    const now = this.clock.now();
+    const former = this.rows.get(keyOf(member))?.member;
+    this.rows = new Map([...this.rows, [keyOf(member), { member, since: now, tellings: 0 }]]);
+    if (former === undefined || former.state !== member.state) this.lastNews = now;
     return [{ kind: 'changed' }];
   }
 
--- a/src/process/register.ts
+++ b/src/process/register.ts
@@ -40,6 +40,12 @@
   readonly reply: RegisterReply;
 }
 
+/**
+ * Whether a holder is the same ratebook in a later life: it says which disk it has, and one process at a time has a
+ * disk, so the earlier life is over and what it was granted binds nobody.
+ */
+const isLaterLife = (one: Holder, other: Holder): boolean => one.includes('/') && one.slice(0, one.lastIndexOf('@')) === other.slice(0, other.lastIndexOf('@'));
+
 const NOTHING: RegisterState = { promised: 0 as Epoch, holder: '', accepted: null };
 
 /**
@@ -50,7 +56,8 @@
   empty: NOTHING,
   step: (state: RegisterState, grant: Grant | null, ask: RegisterAsk, now: Instant, graceUntil: Instant): RegisterStep => {
     const isOwn = state.promised === ask.epoch && state.holder === ask.holder;
-    const leaseEnd = Math.max(grant === null || grant.holder === ask.holder ? 0 : grant.until, graceUntil);
+    const isFreed = (holder: Holder): boolean => holder === ask.holder || isLaterLife(ask.holder, holder);
+    const leaseEnd = Math.max(grant === null || isFreed(grant.holder) ? 0 : grant.until, state.holder !== '' && isFreed(state.holder) ? 0 : graceUntil);
     const refused = (leaseLeft: number): RegisterStep => ({
       store: null, grant,
       reply: { kind: 'refused', promised: state.promised, holder: grant?.holder ?? state.holder, leaseLeftMs: Math.max(0, leaseLeft) as Millis },
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -14,7 +14,7 @@
 import { ownSpeech, type Speech } from '../../connection/speech.js';
 import { WireClient, type WireDefect } from '../../connection/wire.js';
 import { Allowance } from '../../process/allowance.js';
-import type { Millis, OrderId, ServiceName } from '../../process/brands.js';
+import type { Address, Millis, OrderId, ServiceName } from '../../process/brands.js';
 import type { Defect } from '../../process/defect.js';
 import { Delivery } from '../../process/delivery.js';
 import { LocalEndpoints } from '../../process/localEndpoints.js';
@@ -40,6 +40,8 @@
   readonly ordersAtOnce: number;
   readonly callingService?: string;
   readonly readyPort?: number;
+  readonly endpointAt?: Address;
+  readonly leavingMs: Millis;
 }
 
 /** How a switchboard meets callers, endpoints and whoever looks at its readiness. */
@@ -59,6 +61,8 @@
   ordersAtOnce: { check: Joi.number().integer().min(1).max(100_000).default(2000), help: 'most orders under way at once; more are turned away' },
   callingService: { check: Joi.string().min(1).max(64), help: 'service of this machine: endpoints are told that its requests come from it' },
   readyPort: { check: Joi.number().integer().min(1).max(65535), help: 'port of a door for readiness alone; none when not given' },
+  endpointAt: { check: Joi.string().pattern(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'ip:port'), help: 'address of the endpoint of this machine, of the calling service: it is asked for its instance at the start' },
+  leavingMs: { check: millisSetting(0, 0), help: 'how long a stopping switchboard still offers its endpoints to others' },
   partingMs: { check: millisSetting(1500, 0), help: 'how long a stopping switchboard goes on taking orders' },
 };
 
@@ -97,6 +101,12 @@
   new Gauge({ name: 'opalstair_allowance_tokens', help: 'Repeats left at each branch of the tree', labelNames: ['branch'], registers: [frame.metrics], collect() { allowance.views().forEach(({ branch, tokens }) => this.set({ branch }, tokens)); } });
 
   let closing = false;
+  const meetEndpoint = async (): Promise<void> => {
+    const { endpointAt, callingService, zone } = settings;
+    if (endpointAt === undefined || callingService === undefined) return;
+    while (!closing && !delivery.isReady) await new Promise((settle) => { setTimeout(settle, 50); });
+    await hosting.meet(endpointAt, callingService as ServiceName, zone);
+  };
   const server = wireServer(frame);
   server.on<HopOrder>(HopPath.order, hopOrderShape, (message) => hosting.run(message));
   server.on<VerdictAsk>(HopPath.verdict, verdictAskShape, (message) => hosting.verdictOf(message));
@@ -134,6 +144,7 @@
   if (listeners.isErr()) return err(listeners.error);
   const [wireDoor, adminDoor, orderDoor, beatDoor, readyDoor] = listeners.value as [Listener, Listener, Listener, Listener, Listener?];
   delivery.start();
+  void meetEndpoint();
   reporter.start();
   shares.start();
   setInterval(() => {
@@ -145,8 +156,10 @@
   return ok({
     stop: async () => {
       closing = true;
+      const rest = (length: number): Promise<void> => new Promise((settle) => { setTimeout(settle, length); });
+      await rest(settings.leavingMs);
       await reporter.close();
-      await new Promise((settle) => { setTimeout(settle, settings.partingMs); });
+      await rest(Math.max(0, settings.partingMs - settings.leavingMs));
       endpoints.closeAll();
       await orderDoor.close();
       hosting.stopTaking();
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -3,7 +3,7 @@
 import { exchangeWithEndpoint } from '../connection/endpointExchange.js';
 import type { EndpointLinks } from '../connection/endpointLinks.js';
 import type { Speech } from '../connection/speech.js';
-import type { Instant, OrderId, Serial, ServiceName } from '../process/brands.js';
+import type { Address, EndpointId, InstanceId, Instant, OrderId, Serial, ServiceName, ZoneName } from '../process/brands.js';
 import { Manifest, type Binding } from '../version/manifest.js';
 import type { LocalEndpoints, Waiting } from '../process/localEndpoints.js';
 import type { Frame } from '../process/program.js';
@@ -13,6 +13,8 @@
 
 const LEAST_LEFT_MS = 5;
 const PROBE_MS = 1500;
+/** The slots of an endpoint that has not yet said how many it has. */
+const MET_SLOTS = 4;
 const QUEUE_SHARE = 0.5;
 /**
  * A request that is refused within a quarter of its aim can still be served in time elsewhere, so it waits no longer
@@ -85,6 +87,20 @@
     return { serves: answer.match((found) => found.status < 500, () => false) };
   }
 
+  /** Asks the endpoint that this machine is told of which instance it is: a node that was restarted need not wait for its next beat. */
+  async meet(address: Address, service: ServiceName, zone: ZoneName): Promise<void> {
+    const path = this.manifest.probeOf(service);
+    if (path === null || this.endpoints.has(address)) return;
+    const answer = await exchangeWithEndpoint({
+      agent: this.links.agentOf(address, ''), method: 'GET', url: path, headers: ['host', address, 'user-agent', 'opalstair-probe'], body: new Uint8Array(), leftMs: PROBE_MS,
+      fault: () => null, read: () => ({ isOwn: null, isNotRun: false, fault: null }), onOdd: () => undefined,
+    });
+    this.links.forget(address, '');
+    const instance = answer.isOk() && answer.value.status === 200 ? this.speech.instanceOf(HeaderText.read(answer.value.headers)) : null;
+    if (instance === null || this.endpoints.has(address)) return;
+    this.endpoints.beat({ id: instance as EndpointId, instance: instance as InstanceId, service, address, zone, probe: path, slots: MET_SLOTS, leaving: false, nonce: '', fenced: true, sequence: -1 });
+  }
+
   /** From now on no order is started. */
   stopTaking(): void {
     this.isStopping = true;
