--- a/src/connection/operators.ts
+++ b/src/connection/operators.ts
@@ -16,6 +16,7 @@
 const putShape = Joi.object({
   base: Joi.number().integer().min(0).required(),
   change: Joi.string().min(1).max(128),
+  serial: Joi.number().integer().min(1),
   manifest: Joi.object().unknown(true).required(),
 });
 
@@ -24,6 +25,7 @@
 interface PutBody {
   readonly base: Serial;
   readonly change?: ChangeId;
+  readonly serial?: Serial;
   readonly manifest: unknown;
 }
 
@@ -43,7 +45,7 @@
   if (defect.kind === 'change-undecided') {
     return problem(context, 504, 'undecided', defect.detail, { outcome: 'undecided' });
   }
-  const status = defect.reason === 'stale-base' ? 409 : 503;
+  const status = defect.reason === 'stale-base' ? 409 : defect.reason === 'not-above' ? 400 : 503;
   if (status === 503) context.header('retry-after', '2');
   return problem(context, status, defect.reason, defect.detail, { outcome: 'turned-away', ...(defect.reason === 'stale-base' ? { serial: defect.serial } : {}) });
 };
@@ -70,7 +72,7 @@
     const manifest = Manifest.check(wanted.manifest);
     if (manifest.isErr()) return problem(context, 400, 'invalid-manifest', 'nothing was changed', { outcome: 'turned-away', faults: manifest.error.faults });
     const change = wanted.change ?? (randomUUID() as ChangeId);
-    const outcome = await clerk.change({ base: wanted.base, value: manifest.value, id: change });
+    const outcome = await clerk.change({ base: wanted.base, value: manifest.value, id: change, ...(wanted.serial === undefined ? {} : { serial: wanted.serial }) });
     return outcome.match((serial) => context.json({ outcome: 'acknowledged', serial, change }), (defect) => turnAway(context, defect));
   });
   app.post('/v1/manifest/validate', async (context) => {
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -19,6 +19,8 @@
 const ASK_ONCE_MS = 300;
 /** Neighbours may be older than a directory, so they are asked only when no current one has answered for a while. */
 const DIRECTORY_FIRST_MS = 1500;
+/** A node that starts waits so long for a directory that is in touch with a majority before it goes by anybody else's word. */
+const SURE_MS = 1500;
 const NEIGHBOURS_MS = 300;
 const NEIGHBOURS_ASKED = 5;
 const NEIGHBOUR_ANSWER_MS = 500;
@@ -47,11 +49,14 @@
   private isAsking = false;
   private isAskingNeighbours = false;
   private currentAt: Instant;
+  private readonly startedAt: Instant;
+  private hasHeardCurrent = false;
   private readonly pollTime: Histogram;
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly onEndpoints: (rows: readonly EndpointRow[]) => void, private readonly onUnmasked: (rows: readonly EndpointRow[]) => void) {
     const registers = [frame.metrics];
     this.currentAt = frame.clock.now();
+    this.startedAt = this.currentAt;
     const serial = (): number => this.inForce.serial;
     new Gauge({ name: 'opalstair_manifest_serial', help: 'Serial of the manifest in force here', registers, collect() { this.set(serial()); } });
     const masked = (): ReadonlyMap<ServiceName, MaskDigest> => this.masks;
@@ -67,12 +72,16 @@
 
   /** A digest is in force: orders can be matched and endpoints picked. */
   get isReady(): boolean {
+    return this.hasDigests && !this.isUnsure;
+  }
+
+  private get hasDigests(): boolean {
     return this.inForce.serial > 0 && this.endpoints !== null;
   }
 
   /** Whether the manifest that this node started with may be older than one that is acknowledged. */
   get isUnsure(): boolean {
-    return false;
+    return !this.hasHeardCurrent && this.frame.clock.now() - this.startedAt < SURE_MS;
   }
 
   now(): InForce {
@@ -190,10 +199,10 @@
     if (this.isAskingNeighbours || this.isStopping || this.hearsDirectory()) return;
     this.isAskingNeighbours = true;
     const others = this.membership.having('switchboard').filter((member) => member.boot !== this.frame.boot);
-    const asked = this.isReady ? [...others].sort(() => Math.random() - 0.5).slice(0, NEIGHBOURS_ASKED) : others;
+    const asked = this.hasDigests ? [...others].sort(() => Math.random() - 0.5).slice(0, NEIGHBOURS_ASKED) : others;
     const ask: DigestAsk = { manifest: this.inForce.serial };
     const learn = (news: NodeNews): void => this.learn({ ...news, endpoints: news.isCurrent || this.endpoints === null ? news.endpoints : null });
-    const isStarting = !this.isReady;
+    const isStarting = !this.hasDigests;
     const answers = await Promise.all(asked.map(async ({ wire }): Promise<readonly NodeNews[]> => {
       const answer: Result<NodeNews, WireDefect> = await this.wire.call<NodeNews>(wire, NodePath.digest, ask, NEIGHBOUR_ANSWER_MS, nodeNewsShape);
       if (answer.isOk() && !isStarting) learn(answer.value);
@@ -206,7 +215,10 @@
 
   /** A directory's answer. */
   private hear(news: NodeNews): void {
-    if (news.isCurrent) this.currentAt = this.frame.clock.now();
+    if (news.isCurrent) {
+      this.currentAt = this.frame.clock.now();
+      this.hasHeardCurrent = true;
+    }
     this.learn(news);
   }
 
--- a/src/programs/opalctl.ts
+++ b/src/programs/opalctl.ts
@@ -14,6 +14,7 @@
   manifest get                          read back the manifest in force
   manifest put FILE --base SERIAL       put a whole manifest in force on top of that serial
                [--change ID]            the same id again asks what became of an undecided change
+               [--serial N]             the serial that it gets, above the one in force; the next one when not given
   manifest validate FILE                check a manifest and change nothing
   fleet | endpoints | roster | allowances | members | schema
   roster replace ID --with ID           put an empty disk in the place of a lost one
@@ -46,14 +47,15 @@
 
 const get = (path: string): Result<Call, UsageDefect> => ok({ method: 'GET', path, body: undefined, isChange: false });
 
-const callOf = (words: readonly string[], base: string | undefined, change: string | undefined, replacement: string | undefined): Result<Call, UsageDefect> => {
+const callOf = (words: readonly string[], base: string | undefined, change: string | undefined, replacement: string | undefined, serial: string | undefined): Result<Call, UsageDefect> => {
   const [command, verb, operand, ...more] = words;
   if (more.length > 0) return err(new UsageDefect(`too many words after ${command}`));
   if (command === 'manifest' && verb === 'get' && operand === undefined) return get('/v1/manifest');
   if (command === 'manifest' && verb === 'validate' && operand !== undefined) return readJson(operand).map((body) => ({ method: 'POST', path: '/v1/manifest/validate', body, isChange: false }));
   if (command === 'manifest' && verb === 'put' && operand !== undefined) {
     if (base === undefined || !/^\d+$/.test(base)) return err(new UsageDefect('manifest put needs --base SERIAL, the serial that you read back'));
-    return readJson(operand).map((manifest) => ({ method: 'PUT', path: '/v1/manifest', body: { base: Number(base), manifest, ...(change === undefined ? {} : { change }) }, isChange: true }));
+    if (serial !== undefined && !/^[1-9]\d*$/.test(serial)) return err(new UsageDefect('--serial must be a whole number above 0'));
+    return readJson(operand).map((manifest) => ({ method: 'PUT', path: '/v1/manifest', body: { base: Number(base), manifest, ...(change === undefined ? {} : { change }), ...(serial === undefined ? {} : { serial: Number(serial) }) }, isChange: true }));
   }
   if (command === 'roster' && verb === 'replace' && operand !== undefined) {
     if (replacement === undefined) return err(new UsageDefect('roster replace needs --with ID'));
@@ -95,7 +97,7 @@
   try {
     parsed = parseArgs({
       args: process.argv.slice(2), allowPositionals: true, strict: true,
-      options: { directory: { type: 'string', multiple: true }, base: { type: 'string' }, change: { type: 'string' }, with: { type: 'string' }, help: { type: 'boolean' }, version: { type: 'boolean' } },
+      options: { directory: { type: 'string', multiple: true }, base: { type: 'string' }, change: { type: 'string' }, serial: { type: 'string' }, with: { type: 'string' }, help: { type: 'boolean' }, version: { type: 'boolean' } },
     });
   } catch (error) {
     process.stderr.write(`opalctl: ${(error as Error).message}\n`);
@@ -106,7 +108,7 @@
     process.stdout.write(values.help === true ? HELP : `opalctl ${RELEASE}\n`);
     return EXIT.done;
   }
-  const call = callOf(positionals, values.base, values.change, values.with);
+  const call = callOf(positionals, values.base, values.change, values.with, values.serial);
   if (call.isErr()) {
     process.stderr.write(`opalctl: ${call.error.detail}${call.error.cause.mapOr('', (error) => ` (${error.message})`)}\n`);
     return EXIT.usage;
