--- a/src/fleet/hollow.ts
+++ b/src/fleet/hollow.ts
@@ -11,6 +11,7 @@
   --seconds N             measured time (default 20)
   --changes-a-minute N    changes of the manifest (default 12)
   --restarts-a-minute N   restarts of a node (default 0)
+  --storm                 all ask for lists from their first moment; else they first report, then ask in turn
   --out FILE              the JSON as a file too
   --help
 
@@ -20,7 +21,7 @@
 
 const options = {
   nodes: { type: 'string', default: '50' }, services: { type: 'string', default: '10' }, routes: { type: 'string', default: '10' }, seconds: { type: 'string', default: '20' },
-  'changes-a-minute': { type: 'string', default: '12' }, 'restarts-a-minute': { type: 'string', default: '0' }, out: { type: 'string' }, help: { type: 'boolean' },
+  'changes-a-minute': { type: 'string', default: '12' }, 'restarts-a-minute': { type: 'string', default: '0' }, storm: { type: 'boolean' }, out: { type: 'string' }, help: { type: 'boolean' },
 } as const;
 
 interface Wanted {
@@ -34,9 +35,9 @@
     const { values } = parseArgs({ strict: true, args: [...args], options });
     const plan: HollowPlan = {
       nodes: Number(values.nodes), services: Number(values.services), routes: Number(values.routes), seconds: Number(values.seconds),
-      changesAMinute: Number(values['changes-a-minute']), restartsAMinute: Number(values['restarts-a-minute']),
+      changesAMinute: Number(values['changes-a-minute']), restartsAMinute: Number(values['restarts-a-minute']), isStorm: values.storm === true,
     };
-    const wrong = Object.entries(plan).find(([name, value]) => !Number.isInteger(value) || value < (name.endsWith('AMinute') ? 0 : 1));
+    const wrong = Object.entries(plan).find(([name, value]) => typeof value === 'number' && (!Number.isInteger(value) || value < (name.endsWith('AMinute') ? 0 : 1)));
     if (wrong !== undefined) return err(`${wrong[0]} must be a whole number`);
     if (plan.services > plan.nodes) return err('there must be no more services than nodes');
     return ok({ plan, out: values.out, isHelp: values.help === true });
@@ -54,6 +55,7 @@
   process.stdout.write(HELP);
   process.exit(0);
 }
+process.on('SIGTERM', () => process.exit(143));
 const figures = await HollowFleet.measure(wanted.value.plan);
 const text = `${JSON.stringify(figures, null, 1)}\n`;
 if (wanted.value.out !== undefined) writeFileSync(wanted.value.out, text);
--- a/src/fleet/hollowFit.ts
+++ b/src/fleet/hollowFit.ts
@@ -42,7 +42,7 @@
   process.exit(0);
 }
 const runs = positionals.map((file) => JSON.parse(readFileSync(file, 'utf8')) as HollowFigures);
-const against = values.against as keyof HollowPlan;
+const against = values.against as Exclude<keyof HollowPlan, 'isStorm'>;
 if (runs.length < 2 || runs.some((run) => typeof run.plan[against] !== 'number')) {
   process.stderr.write('hollowFit: two results at least, and --against one of their plan\'s numbers\n');
   process.exit(2);
--- a/src/fleet/hollowFleet.ts
+++ b/src/fleet/hollowFleet.ts
@@ -15,6 +15,8 @@
   readonly seconds: number;
   readonly changesAMinute: number;
   readonly restartsAMinute: number;
+  /** All nodes ask for lists from their first moment, as after a power cut; else they first report, then ask one after another. */
+  readonly isStorm: boolean;
 }
 
 /** What one core process cost over the measured time; `heldMiB` is its highest memory since its start. */
@@ -61,7 +63,9 @@
   readonly acknowledgedAt: number;
 }
 
-const WARM_MS = 40_000;
+const WARM_MS = 30_000;
+const REPORTS_FIRST_MS = 2000;
+const ASK_APART_MS = 5;
 const FORCE_MS = 10_000;
 const LOOK_MS = 50;
 const TICK_MS = 10;
@@ -142,7 +146,7 @@
     this.bytes.start();
     const begin = performance.now();
     this.nodes = Array.from({ length: this.plan.nodes }, (_, index) => this.makeNode(index));
-    this.nodes.forEach((node) => node.start());
+    this.nodes.forEach((node, index) => node.start(this.plan.isStorm ? 0 : REPORTS_FIRST_MS + index * ASK_APART_MS));
     const isWhole = (): boolean => this.nodes.every((node) => node.listed === this.plan.nodes && node.serial >= first);
     while (!isWhole() && performance.now() - begin < WARM_MS) await pause(LOOK_MS);
     const warmUpMs = performance.now() - begin;
--- a/src/fleet/hollowNode.ts
+++ b/src/fleet/hollowNode.ts
@@ -81,9 +81,10 @@
     return { calls: Object.fromEntries(this.callCounts), failures: Object.fromEntries(this.failureCounts), ...this.heard };
   }
 
-  start(): void {
+  /** Reports begin at once, polls after a while. */
+  start(pollAfterMs: number): void {
     void this.sendList();
-    void this.follow();
+    setTimeout(() => void this.follow(), pollAfterMs);
     this.timers = [this.every(LIST_MS, () => this.sendList()), this.every(SHARES_MS, () => this.askShares()), this.every(OUTCOMES_MS, () => this.sendOutcomes())];
   }
 
