Count the duties that change hands during a hollow run

With 200 services masks were sent anew about three times in 10 s although nothing failed; the count of duties taken says whether leases ran out.

--- a/src/fleet/hollowFleet.ts
+++ b/src/fleet/hollowFleet.ts
@@ -50,6 +50,8 @@
   readonly messages: Readonly<Record<string, number>>;
   readonly failures: Readonly<Record<string, number>>;
   readonly restarts: number;
+  /** Duties that a directory took within the measured time: in a steady state none. */
+  readonly dutiesTaken: number;
   readonly changesFailed: number;
   readonly force: readonly ForceTime[];
   readonly forceOverAll: { readonly medianMs: number; readonly p99Ms: number; readonly worstMs: number };
@@ -165,6 +167,7 @@
     const ownBefore = process.cpuUsage();
     const bytesBefore = this.bytes.totals();
     const countsBefore = this.totals();
+    const takenBefore = this.dutiesTaken();
     const end = start + this.plan.seconds * 1000;
     await Promise.all([this.repeatUntil(end, this.plan.changesAMinute, () => this.change()), this.repeatUntil(end, this.plan.restartsAMinute, () => this.restartOne()), pause(this.plan.seconds * 1000)]);
     const seconds = (performance.now() - start) / 1000;
@@ -186,7 +189,7 @@
         bytesInPerSecond: perNodeSecond(bytes.in - bytesBefore.in), bytesOutPerSecond: perNodeSecond(bytes.out - bytesBefore.out), messagesPerSecond: perNodeSecond(sum(messages)),
         listsPerSecond: perNodeSecond(counts.lists - countsBefore.lists), manifestsPerSecond: perNodeSecond(counts.manifests - countsBefore.manifests), masksPerSecond: perNodeSecond(counts.masks - countsBefore.masks),
       },
-      messages, failures: less(counts.failures, countsBefore.failures), restarts: this.restarts, changesFailed: this.changesFailed, ...(await this.forceTimes()),
+      messages, failures: less(counts.failures, countsBefore.failures), restarts: this.restarts, dutiesTaken: this.dutiesTaken() - takenBefore, changesFailed: this.changesFailed, ...(await this.forceTimes()),
       hollow: { cpuMsPerSecond: rounded((own.user + own.system) / 1000 / seconds), rssMiB: rounded(process.memoryUsage.rss() / 1048576), loopDelayP99Ms: rounded(loop.percentile(99) / 1e6), loopDelayWorstMs: rounded(loop.max / 1e6) },
     };
   }
@@ -243,6 +246,10 @@
     return [...[...this.fleet.directories].map(([name, daemon]) => ({ name, role: 'directory' as const, daemon })), ...[...this.fleet.ratebooks].map(([name, daemon]) => ({ name, role: 'ratebook' as const, daemon }))];
   }
 
+  private dutiesTaken(): number {
+    return [...this.fleet.directories.values()].reduce((sum, daemon) => sum + daemon.lines.filter((line) => line.event === 'duty-taken').length, 0);
+  }
+
   private totals(): { readonly calls: Record<string, number>; readonly failures: Record<string, number>; readonly lists: number; readonly manifests: number; readonly masks: number } {
     const all = this.nodes.map((node) => node.counts());
     const merged = (pick: 'calls' | 'failures'): Record<string, number> => {
