--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -9,7 +9,7 @@
 import { PlatformEndpoint, type PlatformPlace } from './platformEndpoint.js';
 
 /** The ports of every machine, as the platform hands them out. */
-export const PLATFORM_PORTS = { internal: 17400, outbound: 17410, inbound: 17411, control: 17412, readiness: 17413 } as const;
+export const PLATFORM_PORTS = { internal: 17400, outbound: 17410, inbound: 17411, control: 17412, readiness: 17413, application: 17414 } as const;
 
 const distFolder = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 const templateFolder = join(distFolder, '..', 'deploy');
@@ -104,7 +104,7 @@
     const at = (port: number): string => `${machine.host}:${port}`;
     const { internal, outbound, inbound, control, readiness } = PLATFORM_PORTS;
     return {
-      node_name: machine.name, zone: 'zone1', ip_address: machine.host, service: machine.service, seed_nodes: this.cores.map((core) => `${core.host}:${control}`),
+      node_name: machine.name, zone: 'zone1', ip_address: machine.host, service: machine.service, application: at(PLATFORM_PORTS.application), seed_nodes: this.cores.map((core) => `${core.host}:${control}`),
       internal_ports: [internal, internal + 9], listen_addresses: { outbound: at(outbound), inbound: at(inbound), control_plane: at(control), readiness: at(readiness) },
       data_directory: join(this.folder, machine.name), limits: { disk_space_mb: 256 }, fault_tolerance: { machine_losses: 1 }, initial_start: true,
       bounds: { retry_budget_ratio: 0.2, retry_allowance: 60 },
