--- a/src/process/duties.ts
+++ b/src/process/duties.ts
@@ -6,7 +6,7 @@
 import type { VoterLink } from './quorum.js';
 import type { PlaceSettings } from './settings.js';
 
-const RENEW_MS = 400;
+const RENEW_MS = 600;
 const RANK_MS = 400;
 
 interface Duty {
--- a/src/process/keyHolder.ts
+++ b/src/process/keyHolder.ts
@@ -11,7 +11,7 @@
   readonly marginMs: Millis;
 }
 
-export const LEASE: LeaseRules = { leaseMs: 1200 as Millis, marginMs: 200 as Millis };
+export const LEASE: LeaseRules = { leaseMs: 2000 as Millis, marginMs: 250 as Millis };
 
 /** Holds a key under an epoch and a lease that a majority granted: an owner's key, or a duty. */
 export class KeyHolder {
--- a/src/process/members.ts
+++ b/src/process/members.ts
@@ -214,7 +214,14 @@
     const isDue = now - this.lastNews < CALM_PROBES * this.rules.probeMs || now - this.lastPartner >= CALM_PROBES * this.rules.probeMs;
     const partner = isDue ? this.pick(1, '').map((member) => member.member) : [];
     if (isDue) this.lastPartner = now;
-    return [...strangers, ...partner].map((to) => this.send(to, 'sync', 0));
+    return [...[...strangers, ...partner].map((to) => this.send(to, 'sync', 0)), ...this.callOnLost()];
+  }
+
+  /** One that was removed is told so now and then: if it was only cut off, it speaks up, and both sides know of each other again. */
+  private callOnLost(): readonly MemberCommand[] {
+    const lost = [...this.rows.values()].map((row) => row.member).filter((member) => member.state === 'gone');
+    const [chosen] = this.shuffled(lost);
+    return chosen === undefined ? [] : [{ kind: 'send', to: chosen.member, gossip: { ...this.gossip('sync', 0), news: [this.self, chosen] } }];
   }
 
   private tellAll(to: Address): readonly MemberCommand[] {
@@ -243,7 +250,7 @@
     const now = this.clock.now();
     const former = this.rows.get(keyOf(member))?.member;
     this.rows = new Map([...this.rows, [keyOf(member), { member, since: now, tellings: 0 }]]);
-    if (former === undefined || former.state !== member.state) this.lastNews = now;
+    if (former === undefined || former.state !== member.state || former.boot !== member.boot) this.lastNews = now;
     return [{ kind: 'changed' }];
   }
 
