--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -158,11 +158,13 @@
     const freshness = entries.map((known) => (known === undefined || known.load === null || known.load.meanMs <= 0 ? 0 : Math.max(0, 1 - (now - known.heardAt) / MEAN_FADES_MS)));
     const sureness = freshness.reduce((sum, part) => sum + part, 0);
     const usualMs = sureness === 0 ? 1 : entries.reduce((sum, known, index) => sum + (known?.load?.meanMs ?? 0) * (freshness[index] ?? 0), 0) / sureness;
-    const weighed = rows.map((row, index) => {
+    const all = rows.map((row, index) => {
       const meanMs = usualMs + ((entries[index]?.load?.meanMs ?? usualMs) - usualMs) * (freshness[index] ?? 0);
       const { expectedMs, hasRoom } = this.expected(row, meanMs, now);
       return { row, expectedMs, hasRoom, weight: expectedMs ** -SHARPNESS };
     });
+    const roomy = all.filter(({ hasRoom }) => hasRoom);
+    const weighed = roomy.length > 0 ? roomy : all;
     let rest = this.random() * weighed.reduce((sum, { weight }) => sum + weight, 0);
     const drawn = weighed.find(({ weight }) => {
       rest -= weight;
