Rank waiting requests by the time their kind takes and its priority

Now a kind is small against the longest lately asked for, and a request waits behind the work that is ranked before it. A refusal for being full is remembered for 30 ms instead of 60.

--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -19,9 +19,12 @@
 /** An endpoint that is its own fence stays listed through this much silence: what is sent to a later holder of its address it turns away. */
 const FENCED_SILENCE_MS = 6000;
 const REFUSED_MOST = 2;
-/** A kind of request that takes less than this part of the mean is small: refusing it saves next to nothing. */
+/** A kind of request that takes less than this part of the longest lately asked for is small: refusing it saves next to nothing. */
 const SMALL_PART = 0.6;
-const SMALL_RANK = 1000;
+/** A kind that nobody asked for in this time is no measure of the others. */
+const KIND_FRESH_MS = 10_000;
+/** By how much one step of priority counts against the time that a request takes. */
+const PRIORITY_STEP = 2;
 const MOST_KINDS = 1000;
 
 /** What an endpoint says of itself in each beat. */
@@ -58,8 +61,16 @@
 
 interface Waiter {
   readonly rank: number;
+  /** How long requests of its kind take, in milliseconds. */
+  readonly meanMs: number;
   readonly wake: (isFree: boolean) => void;
 }
+/** What is known of one kind of request at one endpoint. */
+interface Kind {
+  /** 0 before the first was served. */
+  meanMs: number;
+  askedAt: Instant;
+}
 interface Nonce {
   readonly nonce: string;
   readonly givenAt: Instant;
@@ -71,12 +82,12 @@
   given: readonly Nonce[];
   leaving: boolean;
   running: number;
-  /** By priority, then as they came. */
+  /** By rank, then as they came. */
   waiters: readonly Waiter[];
   ended: readonly (() => void)[];
   /** How long its requests lately took, in milliseconds; 0 before the first. */
   meanMs: number;
-  readonly meanMsOf: Map<string, number>;
+  readonly kinds: Map<string, Kind>;
   /** Connections refused in a row. */
   refused: number;
 }
@@ -125,7 +136,7 @@
     }
     const isSame = known !== undefined && known.said.instance === said.instance && known.said.service === said.service && known.said.address === said.address;
     if (known !== undefined && !isSame) this.remove(said.id);
-    const spot: Standing = isSame ? known : { said, provenAt: -Infinity as Instant, given: [], leaving: false, running: 0, waiters: [], ended: [], meanMs: 0, meanMsOf: new Map(), refused: 0 };
+    const spot: Standing = isSame ? known : { said, provenAt: -Infinity as Instant, given: [], leaving: false, running: 0, waiters: [], ended: [], meanMs: 0, kinds: new Map(), refused: 0 };
     const before = this.view(spot, now);
     spot.said = said;
     spot.leaving = spot.leaving || said.leaving;
@@ -214,14 +225,13 @@
     const fault = this.faultOf(wanted);
     if (fault !== null) return err(fault);
     const spot = this.standing.get(wanted.endpoint) as Standing;
+    const kind = this.kindOf(spot, waiting.kind);
     if (spot.running >= spot.said.slots) {
-      const isSmall = this.isSmall(spot, waiting.kind);
-      const rank = waiting.priority - (isSmall ? SMALL_RANK : 0);
-      const mostMs = isSmall ? waiting.mostMsIfSmall ?? waiting.mostMs : waiting.mostMs;
-      const ahead = spot.waiters.filter((waiter) => waiter.rank <= rank).length;
-      const expectedMs = (ahead + 1) * spot.meanMs / spot.said.slots;
-      if (spot.waiters.length >= spot.said.slots * QUEUE_PER_SLOT || mostMs <= 0 || expectedMs > mostMs) return err('full');
-      if (!(await this.waitTurn(spot, rank, mostMs))) return err(this.faultOf(wanted) ?? 'full');
+      const kindMs = kind.meanMs > 0 ? kind.meanMs : spot.meanMs;
+      const rank = kindMs * PRIORITY_STEP ** waiting.priority;
+      const mostMs = this.isSmall(spot, kind) ? waiting.mostMsIfSmall ?? waiting.mostMs : waiting.mostMs;
+      if (spot.waiters.length >= spot.said.slots * QUEUE_PER_SLOT || mostMs <= 0 || this.expectedWaitMs(spot, rank) > mostMs) return err('full');
+      if (!(await this.waitTurn(spot, rank, kindMs, mostMs))) return err(this.faultOf(wanted) ?? 'full');
     }
     else spot.running += 1;
     const late = this.faultOf(wanted);
@@ -230,7 +240,7 @@
       return err(late);
     }
     return ok({ address: spot.said.address, recheck: () => this.faultOf(wanted), leave: (tookMs) => {
-      if (tookMs !== undefined) this.learn(spot, waiting.kind, tookMs);
+      if (tookMs !== undefined) LocalEndpoints.learn(spot, kind, tookMs);
       this.leave(spot);
     } });
   }
@@ -252,24 +262,46 @@
     return this.isProven(spot, this.clock.now()) ? null : 'stale-beat';
   }
 
-  /** A seat that comes free is handed on to the next who waits, so `running` stays as it is. */
-  private learn(spot: Standing, kind: string | undefined, tookMs: number): void {
-    spot.meanMs = spot.meanMs === 0 ? tookMs : spot.meanMs + LATEST_PART * (tookMs - spot.meanMs);
-    if (kind === undefined) return;
-    const former = spot.meanMsOf.get(kind);
-    if (former === undefined && spot.meanMsOf.size >= MOST_KINDS) spot.meanMsOf.clear();
-    spot.meanMsOf.set(kind, former === undefined ? tookMs : former + LATEST_PART * (tookMs - former));
+  private static learn(spot: Standing, kind: Kind, tookMs: number): void {
+    const moved = (meanMs: number): number => (meanMs === 0 ? tookMs : meanMs + LATEST_PART * (tookMs - meanMs));
+    spot.meanMs = moved(spot.meanMs);
+    kind.meanMs = moved(kind.meanMs);
   }
 
-  private isSmall(spot: Standing, kind: string | undefined): boolean {
-    const mean = kind === undefined ? undefined : spot.meanMsOf.get(kind);
-    return mean !== undefined && mean < SMALL_PART * spot.meanMs;
+  /** The account of a kind of request; whoever asks for it keeps it fresh. */
+  private kindOf(spot: Standing, name = ''): Kind {
+    const now = this.clock.now();
+    const known = spot.kinds.get(name);
+    if (known !== undefined) {
+      known.askedAt = now;
+      return known;
+    }
+    if (spot.kinds.size >= MOST_KINDS) spot.kinds.clear();
+    const fresh: Kind = { meanMs: 0, askedAt: now };
+    spot.kinds.set(name, fresh);
+    return fresh;
   }
 
-  private waitTurn(spot: Standing, rank: number, mostMs: number): Promise<boolean> {
+  /** Whether a kind takes much less than the longest that is lately asked for here, served or refused. */
+  private isSmall(spot: Standing, kind: Kind): boolean {
+    if (kind.meanMs === 0) return false;
+    const now = this.clock.now();
+    let longestMs = 0;
+    for (const other of spot.kinds.values()) if (now - other.askedAt < KIND_FRESH_MS) longestMs = Math.max(longestMs, other.meanMs);
+    return kind.meanMs < SMALL_PART * longestMs;
+  }
+
+  /** How long a request of this rank would wait: the next seat comes free soon, and those ahead go first. */
+  private expectedWaitMs(spot: Standing, rank: number): number {
+    const { slots } = spot.said;
+    const aheadMs = spot.waiters.reduce((sum, waiter) => (waiter.rank <= rank ? sum + waiter.meanMs : sum), 0);
+    return aheadMs / slots + spot.meanMs / (slots + 1);
+  }
+
+  private waitTurn(spot: Standing, rank: number, meanMs: number, mostMs: number): Promise<boolean> {
     return new Promise((settle) => {
       const waiter: Waiter = {
-        rank,
+        rank, meanMs,
         wake: (isFree) => {
           clearTimeout(timer);
           spot.waiters = spot.waiters.filter((one) => one !== waiter);
@@ -282,6 +314,7 @@
     });
   }
 
+  /** A seat that comes free is handed on to the next who waits, so `running` stays as it is. */
   private leave(spot: Standing): void {
     const next = spot.waiters[0];
     if (next !== undefined && spot.running <= spot.said.slots) {
--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -11,7 +11,7 @@
 /** An endpoint that was slow is tried again: what was heard of its speed fades in this time. */
 const MEAN_FADES_MS = 10_000;
 /** What a host said of being full counts for so long. */
-const FULL_FRESH_MS = 60;
+const FULL_FRESH_MS = 30;
 /** So many endpoints are weighed against one another; of more, as many are drawn. */
 const WEIGHED = 8;
 /** What a request takes beside the endpoint's own time; differences of less than that say nothing. */
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -2,6 +2,7 @@
 import type { Load } from '../src/connection/hopCalls.js';
 import { Chance } from '../src/fleet/chance.js';
 import type { BindingId, Epoch, Instant, Millis, ServiceName, ZoneName } from '../src/process/brands.js';
+import type { Result } from 'neverthrow';
 import { LocalEndpoints, type Announcement, type Seat } from '../src/process/localEndpoints.js';
 import type { OutcomeBook } from '../src/process/outcomeBook.js';
 import { Picker } from '../src/process/picker.js';
@@ -95,6 +96,30 @@
   assert.equal(order, ['small', 'first', 'late']);
 });
 
+test('a small kind stays small when the long ones are all refused, and long ones that wait do not count against it', async () => {
+  const clock = { at: 0 as Instant };
+  const local = new LocalEndpoints({ now: () => clock.at }, () => undefined);
+  local.beat(said)._unsafeUnwrap();
+  const take = (kind: string, mostMs: number, mostMsIfSmall = mostMs): Promise<Result<Seat, string>> => local.seat(wanted, { kind, priority: 1, mostMs, mostMsIfSmall });
+  const serve = async (kind: string, tookMs: number): Promise<void> => (await take(kind, 0))._unsafeUnwrap().leave(tookMs);
+  await serve('long', 300);
+  const running = (await take('short', 0))._unsafeUnwrap();
+  assert.is((await take('long', 1))._unsafeUnwrapErr(), 'full');
+  running.leave(10);
+  for (let count = 0; count < 40; count += 1) await serve('short', 10);
+  const busy = (await take('short', 0))._unsafeUnwrap();
+  const longs = [take('long', 60_000), take('long', 60_000)];
+  const shorts = [take('short', 0, 60)];
+  busy.leave(10);
+  (await Promise.all(shorts)).forEach((seat) => seat._unsafeUnwrap().leave(10));
+  for (const seat of longs) (await seat)._unsafeUnwrap().leave(300);
+  clock.at = 20_000 as Instant;
+  local.beat({ ...said, sequence: 2 })._unsafeUnwrap();
+  const last = (await take('short', 0))._unsafeUnwrap();
+  assert.is((await take('short', 0, 60_000))._unsafeUnwrapErr(), 'full', 'nobody has asked for long ones lately');
+  last.leave(10);
+});
+
 test('a beat with a number that is not higher changes nothing', () => {
   const local = new LocalEndpoints({ now: () => 0 as Instant }, () => undefined);
   local.beat({ ...said, sequence: 5, leaving: true })._unsafeUnwrap();
