--- a/src/connection/endpointLinks.ts
+++ b/src/connection/endpointLinks.ts
@@ -32,7 +32,7 @@
     const used = socket as Socket;
     used.removeListener('data', this.onSurplus);
     used.setTimeout(0);
-    request.reusedSocket = true;
+    super.reuseSocket(socket, request);
   }
 
   /** Bytes on an idle connection belong to no request. */
--- a/test/platformLinks.test.ts
+++ b/test/platformLinks.test.ts
@@ -37,6 +37,7 @@
     assert.equal([answer.status, answer.body.id], [200, id]);
   }
   assert.equal([endpoint.runs.length, endpoint.connections], [MANY, 1]);
+  assert.is(fleet.sidecars.get('app1')?.errors, '', 'nothing piles up at a connection that is used again and again');
 });
 
 test('requests at once take no more connections than the endpoint has slots', async () => {
