Rehearse the path before the first caller comes

Ruled out: the endpoints' slots, the steady cost of warm code. A starting switchboard now takes requests of its own through a copy of its path (door, hop, host, an endpoint that only it knows) until the first real one.

--- a/src/connection/speech.ts
+++ b/src/connection/speech.ts
@@ -48,6 +48,8 @@
   ofAnswer(status: number, raw: RawHeaders, request: string): AnswerFacts;
   /** The instance that a probe's answer names; null when it names none. */
   instanceOf(raw: RawHeaders): string | null;
+  /** What a caller's request of this id says beside method, path and body, for a rehearsal. */
+  rehearsed(id: string): RawHeaders;
   /** Headers for the caller, on top of the endpoint's. */
   withAnswer(order: string): RawHeaders;
   tell(answer: OwnAnswer): { readonly headers: RawHeaders; readonly body: Uint8Array };
@@ -66,6 +68,7 @@
     return { isOwn: named === null ? null : named === request, isNotRun: Headers.valueOf(raw, 'opalstair-not-run') !== null, fault: null };
   },
   instanceOf: (raw) => Headers.valueOf(raw, 'opalstair-instance'),
+  rehearsed: () => ['opalstair-left-ms', '1000'],
   withAnswer: (order) => ['opalstair-order', order],
   tell: ({ order, status, outcome, reason, detail, retryAfterMs }) => ({
     headers: ['content-type', 'application/problem+json', 'opalstair-outcome', outcome, 'opalstair-order', order, ...(retryAfterMs === null ? [] : ['retry-after', String(Math.max(1, Math.ceil(retryAfterMs / 1000)))])],
--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -20,7 +20,7 @@
   private watchers: readonly { readonly event: string; readonly settle: (line: LogLine) => void }[] = [];
   private stderrText = '';
 
-  constructor(readonly program: string, readonly flags: readonly string[], readonly adminAddress: string, private readonly logLine: (line: string) => void = () => undefined) {}
+  constructor(readonly program: string, readonly flags: string[], readonly adminAddress: string, private readonly logLine: (line: string) => void = () => undefined) {}
 
   get pid(): number | null {
     return this.child?.pid ?? null;
--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -15,6 +15,8 @@
 const templateFolder = join(distFolder, '..', 'deploy');
 const GAP = /\{\{([A-Za-z0-9_.]+)(\|json)?\}\}/g;
 const SLOTS = 4;
+/** Enough to see it done; the platform's own settings ask for more. */
+export const REHEARSED = 20;
 
 /** A template that asks for a field that the platform does not give. */
 export class EmptyGap extends Defect {
@@ -193,7 +195,8 @@
     if (filled.isErr()) throw new Error(filled.error.describe());
     const file = join(this.folder, `${machine.name}-${template}.json`);
     writeFileSync(file, filled.value);
-    const daemon = new Daemon(program, ['--settings', file, '--log-level', 'info'], `${machine.host}:${adminPort}`);
+    const few = program === 'sidecar' ? ['--rehearsed-orders', String(REHEARSED)] : [];
+    const daemon = new Daemon(program, ['--settings', file, '--log-level', 'info', ...few], `${machine.host}:${adminPort}`);
     if (program !== 'ratebook') daemon.programs = join(distFolder, 'platform');
     return daemon;
   }
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -28,6 +28,7 @@
 import { Traces } from '../../process/traces.js';
 import type { Target } from '../../version/matcher.js';
 import { Manifest } from '../../version/manifest.js';
+import { Rehearsal } from './rehearsal.js';
 import { Forwarder } from '../../request/forwarder.js';
 import { Hosting } from '../../request/hosting.js';
 
@@ -38,6 +39,7 @@
   readonly tracesKept: number;
   readonly partingMs: Millis;
   readonly ordersAtOnce: number;
+  readonly rehearsedOrders: number;
   readonly callingService?: string;
   readonly readyPort?: number;
   readonly endpointAt?: Address;
@@ -59,6 +61,7 @@
   highestNodes: { check: Joi.number().integer().min(1).max(1000).default(16), help: 'most switchboards there will ever be; half of each allowance is split by it for good' },
   tracesKept: { check: Joi.number().integer().min(0).max(1_000_000).default(5000), help: 'how many orders are kept for calltrace' },
   ordersAtOnce: { check: Joi.number().integer().min(1).max(100_000).default(2000), help: 'most orders under way at once; more are turned away' },
+  rehearsedOrders: { check: Joi.number().integer().min(0).max(100_000).default(0), help: 'orders of its own that a starting switchboard takes through a copy of its path, so that the code is compiled before callers come; it ends with the first real one' },
   callingService: { check: Joi.string().min(1).max(64), help: 'service of this machine: endpoints are told that its requests come from it' },
   readyPort: { check: Joi.number().integer().min(1).max(65535), help: 'port of a door for readiness alone; none when not given' },
   endpointAt: { check: Joi.string().pattern(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'ip:port'), help: 'address of the endpoint of this machine, of the calling service: it is asked for its instance at the start' },
@@ -107,6 +110,14 @@
     while (!closing && !delivery.isReady) await new Promise((settle) => { setTimeout(settle, 50); });
     await hosting.meet(endpointAt, callingService as ServiceName, zone);
   };
+  let hasCarried = false;
+  const rehearse = async (): Promise<void> => {
+    if (settings.rehearsedOrders === 0) return;
+    const rehearsal = await Rehearsal.open(frame, doors.speech);
+    const whole = await rehearsal.run(settings.rehearsedOrders, () => closing || hasCarried);
+    await rehearsal.close();
+    log.info({ event: 'rehearsed', orders: whole });
+  };
   const server = wireServer(frame);
   server.on<HopOrder>(HopPath.order, hopOrderShape, (message) => hosting.run(message));
   server.on<VerdictAsk>(HopPath.verdict, verdictAskShape, (message) => hosting.verdictOf(message));
@@ -126,7 +137,11 @@
     return asked.error === undefined ? context.json(forwarder.explain(asked.value as Target)) : problem(context, 400, 'bad-request', asked.error.message);
   });
   const orders = takeOrders({
-    carry: (order) => forwarder.carry(order), isClosing: () => closing, ordersAtOnce: settings.ordersAtOnce,
+    carry: (order) => {
+      hasCarried = hasCarried || isReady();
+      return forwarder.carry(order);
+    },
+    isClosing: () => closing, ordersAtOnce: settings.ordersAtOnce,
     failed: (error) => log.error({ event: 'internal-defect', error: error.stack }), speech: doors.speech, bodyLimit: () => delivery.now().manifest.limits.bodyBytes,
   });
   const beats = doors.beats({
@@ -145,6 +160,7 @@
   const [wireDoor, adminDoor, orderDoor, beatDoor, readyDoor] = listeners.value as [Listener, Listener, Listener, Listener, Listener?];
   delivery.start();
   void meetEndpoint();
+  void rehearse();
   reporter.start();
   shares.start();
   setInterval(() => {
