--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -117,12 +117,15 @@
   leave(tookMs?: number): void;
 }
 
-/** The endpoints of this machine: their beats, slots and departures. Only this table decides whether one may run an order. */
+/**
+ * The endpoints of this machine: their beats, slots and departures. Only this table decides whether one may run an order.
+ * `backlog` is how many requests each is given beyond its slots, so that it need not wait for the next one.
+ */
 export class LocalEndpoints {
   private readonly standing = new Map<EndpointId, Standing>();
   private departed: ReadonlyMap<InstanceId, Instant> = new Map();
 
-  constructor(private readonly clock: Clock, private readonly onChange: () => void, private readonly onRemoved: (said: Announcement) => void = () => undefined) {}
+  constructor(private readonly clock: Clock, private readonly onChange: () => void, private readonly onRemoved: (said: Announcement) => void = () => undefined, private readonly backlog = 0) {}
 
   beat(said: Announcement): Result<BeatAnswer, Departed> {
     if (this.departed.has(said.instance)) return err(new Departed(`instance ${said.instance} has signed off`));
@@ -226,7 +229,7 @@
     if (fault !== null) return err(fault);
     const spot = this.standing.get(wanted.endpoint) as Standing;
     const kind = this.kindOf(spot, waiting.kind);
-    if (spot.running >= spot.said.slots) {
+    if (spot.running >= spot.said.slots + this.backlog) {
       const kindMs = kind.meanMs > 0 ? kind.meanMs : spot.meanMs;
       const rank = kindMs * PRIORITY_STEP ** waiting.priority;
       const mostMs = this.isSmall(spot, kind) ? waiting.mostMsIfSmall ?? waiting.mostMs : waiting.mostMs;
@@ -317,7 +320,7 @@
   /** A seat that comes free is handed on to the next who waits, so `running` stays as it is. */
   private leave(spot: Standing): void {
     const next = spot.waiters[0];
-    if (next !== undefined && spot.running <= spot.said.slots) {
+    if (next !== undefined && spot.running <= spot.said.slots + this.backlog) {
       next.wake(true);
       return;
     }
--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -18,6 +18,8 @@
 const WAY_MS = 10;
 /** The own zone is kept to as long as another is not quicker by more than this part: bytes between zones are dear. */
 const ZONE_PART = 0.3;
+/** It is kept to as well as long as it takes no more than this part of the aim. */
+const ZONE_AIM_PART = 0.4;
 /** A nearly full endpoint is slower than its mean time tells. */
 const CROWD_PART = 0.5;
 /** How sharply the quicker is preferred; all keep a chance, so that callers with the same news don't all go to one endpoint. */
@@ -47,6 +49,8 @@
   readonly tried: readonly EndpointRow[];
   /** Endpoints that just refused a request of the same binding for being full are passed over. */
   readonly binding: BindingId;
+  /** The time within which an answer is of full use, in milliseconds; null when only the time limit counts. */
+  readonly aimMs: number | null;
 }
 
 interface Known {
@@ -97,7 +101,7 @@
     const fit = filters.reduce((rows, [why, isOut]) => (rows.every(isOut) ? rows : split(rows, why, isOut)), open);
     const roomy = split(fit, 'full', (row) => this.isFull(row, query.binding, now));
     const weighed = roomy.length <= WEIGHED ? roomy : this.drawn(roomy);
-    const chosen = this.likely(weighed, now);
+    const chosen = this.likely(weighed, query.aimMs, now);
     if (chosen === null) return { chosen: null, passedOver };
     passOver(weighed.filter((row) => row !== chosen), 'slower or less free');
     if (weighed !== roomy) passOver(roomy.filter((row) => !weighed.includes(row)), 'not drawn');
@@ -161,7 +165,7 @@
   }
 
   /** Draws one, the quicker the likelier; one of the own zone that is nearly as quick and has room goes first. */
-  private likely(rows: readonly EndpointRow[], now: Instant): EndpointRow | null {
+  private likely(rows: readonly EndpointRow[], aimMs: number | null, now: Instant): EndpointRow | null {
     const entries = rows.map((row) => this.known.get(keyOf(row)));
     const freshness = entries.map((known) => (known === undefined || known.load === null || known.load.meanMs <= 0 ? 0 : Math.max(0, 1 - (now - known.heardAt) / MEAN_FADES_MS)));
     const sureness = freshness.reduce((sum, part) => sum + part, 0);
@@ -179,7 +183,8 @@
       return rest < 0;
     }) ?? weighed.at(-1);
     if (drawn === undefined || drawn.row.zone === this.zone) return drawn?.row ?? null;
-    const near = weighed.filter(({ row, hasRoom, expectedMs }) => row.zone === this.zone && hasRoom && expectedMs <= drawn.expectedMs * (1 + ZONE_PART));
+    const mostMs = Math.max(drawn.expectedMs * (1 + ZONE_PART), (aimMs ?? 0) * ZONE_AIM_PART);
+    const near = weighed.filter(({ row, hasRoom, expectedMs }) => row.zone === this.zone && hasRoom && expectedMs <= mostMs);
     return near[Math.floor(this.random() * near.length)]?.row ?? drawn.row;
   }
 
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -40,6 +40,7 @@
   readonly partingMs: Millis;
   readonly ordersAtOnce: number;
   readonly rehearsedOrders: number;
+  readonly endpointBacklog: number;
   readonly callingService?: string;
   readonly readyPort?: number;
   readonly endpointAt?: Address;
@@ -62,6 +63,7 @@
   tracesKept: { check: Joi.number().integer().min(0).max(1_000_000).default(5000), help: 'how many orders are kept for calltrace' },
   ordersAtOnce: { check: Joi.number().integer().min(1).max(100_000).default(2000), help: 'most orders under way at once; more are turned away' },
   rehearsedOrders: { check: Joi.number().integer().min(0).max(100_000).default(0), help: 'orders of its own that a starting switchboard takes through a copy of its path, so that the code is compiled before callers come; it ends with the first real one' },
+  endpointBacklog: { check: Joi.number().integer().min(0).max(100).default(0), help: 'orders given to an endpoint beyond its slots, where endpoints queue by themselves: the next one is there when a slot comes free' },
   callingService: { check: Joi.string().min(1).max(64), help: 'service of this machine: endpoints are told that its requests come from it' },
   readyPort: { check: Joi.number().integer().min(1).max(65535), help: 'port of a door for readiness alone; none when not given' },
   endpointAt: { check: Joi.string().pattern(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'ip:port'), help: 'address of the endpoint of this machine, of the calling service: it is asked for its instance at the start' },
@@ -80,7 +82,7 @@
   const membership = opened.value;
   const wire = new WireClient(settings.cluster, settings.listenHost);
   const links = new EndpointLinks(clock, settings.listenHost);
-  const endpoints = new LocalEndpoints(clock, () => reporter.changed(), (said) => links.forget(said.address, said.instance));
+  const endpoints = new LocalEndpoints(clock, () => reporter.changed(), (said) => links.forget(said.address, said.instance), settings.endpointBacklog);
   const delivery = new Delivery(frame, membership, wire, (rows) => {
     book.keepOnly(rows);
     picker.keepOnly(rows);
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -17,7 +17,7 @@
 const binding = 'lines' as BindingId;
 
 /** A picker in zone `a` with a clock moved by hand, and how often each of the rows is picked of a thousand times. */
-const pickerOf = (rows: readonly EndpointRow[]): { readonly picker: Picker; readonly clock: { now: () => Instant; at: number }; readonly shares: () => Readonly<Record<string, number>>; readonly tell: (id: string, load: Load) => void } => {
+const pickerOf = (rows: readonly EndpointRow[]): { readonly picker: Picker; readonly clock: { now: () => Instant; at: number }; readonly shares: (aimMs?: number) => Readonly<Record<string, number>>; readonly tell: (id: string, load: Load) => void } => {
   const clock = { at: 1000, now: (): Instant => clock.at as Instant };
   const chance = new Chance(7);
   const picker = new Picker('a' as ZoneName, clock, { maskOf: () => null, takeTrial: () => false } as unknown as OutcomeBook, () => chance.below(1_000_000) / 1_000_000);
@@ -28,10 +28,10 @@
       picker.started(rowNamed(id));
       picker.ended(rowNamed(id), load);
     },
-    shares: () => {
+    shares: (aimMs) => {
       const counts: Record<string, number> = {};
       for (let count = 0; count < 1000; count += 1) {
-        const { chosen } = picker.pick({ service: 'line' as ServiceName, isRepeatable: false, tried: [], binding }, { rows, mask: null });
+        const { chosen } = picker.pick({ service: 'line' as ServiceName, isRepeatable: false, tried: [], binding, aimMs: aimMs ?? null }, { rows, mask: null });
         if (chosen !== null) counts[chosen.row.id] = (counts[chosen.row.id] ?? 0) + 1;
       }
       return counts;
@@ -70,6 +70,10 @@
   assert.equal(shares(), { near: 1000 });
   tell('near', loadOf(200));
   assert.ok((shares()['far'] ?? 0) > 950);
+  assert.equal(shares(1000), { near: 1000 }, 'much slower, but well within the aim');
+  assert.ok((shares(300)['far'] ?? 0) > 950, 'the aim is too near');
+  tell('near', loadOf(200, 4));
+  assert.equal(shares(1000), { far: 1000 }, 'no room in the own zone');
 });
 
 const said = { id: 'e', service: 'line', address: '10.0.0.1:1', instance: 'i', zone: 'z', probe: '/', slots: 1, leaving: false, nonce: '', fenced: true, sequence: 1 } as unknown as Announcement;
@@ -120,6 +124,20 @@
   last.leave(10);
 });
 
+test('an endpoint that queues by itself is given so many requests beyond its slots, and no more', async () => {
+  const local = new LocalEndpoints({ now: () => 0 as Instant }, () => undefined, () => undefined, 1);
+  local.beat(said)._unsafeUnwrap();
+  const take = (mostMs: number): Promise<Result<Seat, string>> => local.seat(wanted, { priority: 0, mostMs });
+  const seats = [(await take(0))._unsafeUnwrap(), (await take(0))._unsafeUnwrap()];
+  assert.is((await take(0))._unsafeUnwrapErr(), 'full');
+  const waiting = take(60_000);
+  assert.equal(local.load(said.id), { running: 2, waiting: 1, slots: 1, meanMs: 0 });
+  seats[0]?.leave(10);
+  (await waiting)._unsafeUnwrap().leave(10);
+  seats[1]?.leave(10);
+  assert.equal(local.load(said.id), { running: 0, waiting: 0, slots: 1, meanMs: 10 });
+});
+
 test('a beat with a number that is not higher changes nothing', () => {
   const local = new LocalEndpoints({ now: () => 0 as Instant }, () => undefined);
   local.beat({ ...said, sequence: 5, leaving: true })._unsafeUnwrap();
