Count stray errors as a failure of the test that runs, and always print the closing line

Cause: a rejection that nobody awaited ended the whole run, so the tests after it were not run and no counts were printed; a suite that could not be set up ended it too. Now a stray error fails the running test, a file or a suite that can not begin is one failure, and a run that ends before its last test says so. Checked by sample tests that leak, in a process of their own.

--- a/test/run.ts
+++ b/test/run.ts
@@ -8,7 +8,7 @@
   UVU_QUEUE: unknown[][];
 }
 
-const testFolder = dirname(fileURLToPath(import.meta.url));
+const testFolder = process.env['TEST_FOLDER'] ?? dirname(fileURLToPath(import.meta.url));
 const wanted = process.argv.slice(2);
 const testFiles = readdirSync(testFolder)
   .filter((name) => name.endsWith('.test.js') && (wanted.length === 0 || wanted.some((word) => name.includes(word))))
@@ -17,12 +17,23 @@
 uvu.UVU_DEFER = 1;
 uvu.UVU_QUEUE = [];
 const { exec } = await import('uvu');
-const { results } = await import('./harness.js');
+const { catchStrays, fail, results } = await import('./harness.js');
+let isWhole = false;
+process.on('exit', () => {
+  if (!isWhole) fail('the run ended before its last test', 'nothing was left to wait for, or the process was told to exit');
+  process.stdout.write(`${results.passed} passed, ${results.failed} failed\n`);
+  process.exitCode = results.failed > 0 || results.passed === 0 ? 1 : 0;
+});
+catchStrays();
 for (const [index, name] of testFiles.entries()) {
   uvu.UVU_INDEX = index;
   uvu.UVU_QUEUE.push([name]);
-  await import(pathToFileURL(join(testFolder, name)).href);
+  try {
+    await import(pathToFileURL(join(testFolder, name)).href);
+  } catch (error) {
+    fail(`${name}: could not be loaded`, error);
+  }
 }
 await exec();
-process.stdout.write(`${results.passed} passed, ${results.failed} failed\n`);
-process.exit(results.failed > 0 || results.passed === 0 ? 1 : 0);
+isWhole = true;
+process.exit();
--- /dev/null
+++ b/test/samples/unloadable.test.ts
@@ -0,0 +1,1 @@
+throw new Error('no loading');
--- /dev/null
+++ b/test/samples/waits.test.ts
@@ -0,0 +1,7 @@
+import { suite } from '../harness.js';
+
+const { test, run } = suite('waits');
+
+test('for what never comes', () => new Promise(() => undefined));
+
+run();
