Bring the fleet back into service after a test that failed, before the next one runs

Cause: the first test of the lives stopped halfway on a slow machine and left a switchboard ended; a later test waited a minute for it in vain, and the request that it had under way ended the run.

--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -16,6 +16,7 @@
   /** Where its program lies: this build, or another to be compared with. */
   programs = ownPrograms;
   private child: ChildProcess | null = null;
+  private isTold = false;
   private ended: Promise<number | null> = Promise.resolve(null);
   private watchers: readonly { readonly event: string; readonly settle: (line: LogLine) => void }[] = [];
   private stderrText = '';
@@ -35,6 +36,11 @@
     return this.child !== null && this.child.exitCode === null && this.child.signalCode === null;
   }
 
+  /** Whether it runs although it was told to end. */
+  get isEnding(): boolean {
+    return this.isTold && this.isRunning;
+  }
+
   get errors(): string {
     return this.stderrText;
   }
@@ -43,6 +49,7 @@
   async start(): Promise<void> {
     const child = spawn(process.execPath, [join(this.programs, `${this.program}.js`), ...this.flags], { stdio: ['ignore', 'pipe', 'pipe'] });
     this.child = child;
+    this.isTold = false;
     running.add(child);
     this.ended = new Promise((settle) => {
       child.once('close', (code) => {
@@ -69,6 +76,7 @@
 
   /** Ends the process and waits for its end. */
   async end(name: NodeJS.Signals = 'SIGTERM'): Promise<number | null> {
+    this.isTold = true;
     if (this.isRunning) this.signal(name);
     return this.ended;
   }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -278,6 +278,19 @@
     }
   }
 
+  /** Brings every process back into service, whatever was left frozen, cut off, ending or ended; endpoints serve again. */
+  async restore(): Promise<void> {
+    this.relay.heal();
+    for (const endpoint of this.endpoints) {
+      endpoint.behaviour = () => 'serves';
+      endpoint.onRun = () => undefined;
+    }
+    this.daemons().forEach((daemon) => daemon.signal('SIGCONT'));
+    await Promise.all(this.daemons().filter((daemon) => daemon.isEnding).map((daemon) => daemon.end('SIGKILL')));
+    await Promise.all(this.daemons().filter((daemon) => !daemon.isRunning).map((daemon) => daemon.start()));
+    await Promise.all(this.daemons().map((daemon) => this.ready(daemon)));
+  }
+
   /** Ends everything and removes the data. */
   async end(): Promise<void> {
     this.endpoints.forEach((endpoint) => endpoint.stopBeating());
--- a/test/endpoints.test.ts
+++ b/test/endpoints.test.ts
@@ -10,7 +10,7 @@
 import { LocalEndpoints, PROOF_MS, type Announcement } from '../src/process/localEndpoints.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('endpoints');
+const { test, before, after, restore, run } = suite('endpoints');
 
 interface Told {
   readonly outcome?: string;
@@ -121,6 +121,7 @@
   await fleet.inForce(await fleet.push(manifest));
 });
 after(() => fleet.end());
+restore(() => fleet.restore());
 
 test('announcements from another machine, of another address or malformed are turned away', async () => {
   const said = { service: 'line', instance: 'i1', zone: 'zone1', address: `${fleet.machine('app1').host}:1`, slots: 9 };
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -4,7 +4,7 @@
 import { suite } from './harness.js';
 import { gated, lineManifest } from './parts.js';
 
-const { test, before, after, run } = suite('faults');
+const { test, before, after, restore, run } = suite('faults');
 
 interface Told {
   readonly outcome?: string;
@@ -26,6 +26,7 @@
   await fleet.listed('line', ['line-1']);
 });
 after(() => fleet.end());
+restore(() => fleet.restore());
 
 test('a hop whose connection breaks while the order runs is asked after: the caller gets the one answer', async () => {
   const gate = gated(endpoint);
--- a/test/health.test.ts
+++ b/test/health.test.ts
@@ -11,7 +11,7 @@
 import { Manifest } from '../src/version/manifest.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('health');
+const { test, before, after, restore, run } = suite('health');
 
 interface View {
   readonly id: string;
@@ -78,6 +78,7 @@
   await fleet.listed('line', endpoints.map((endpoint) => endpoint.place.id));
 });
 after(() => fleet.end());
+restore(() => fleet.restore());
 
 test('failures that several callers see mask an endpoint for all, a probe through its host brings it back', async () => {
   const [bad] = endpoints as [StandInEndpoint];
--- a/test/island.test.ts
+++ b/test/island.test.ts
@@ -2,7 +2,7 @@
 import { callJson, Fleet, until, type JsonAnswer } from '../src/fleet/fleet.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('islands');
+const { test, before, after, restore, run } = suite('islands');
 
 interface Told {
   readonly endpoint?: string;
@@ -23,6 +23,7 @@
   await fleet.listed('line', apps.map((name) => `line-${name}`));
 });
 after(() => fleet.end());
+restore(() => fleet.restore());
 
 test('a node cut off from the core alone hears manifests and endpoints from its neighbours', async () => {
   fleet.relay.split(['app1'], cores);
--- a/test/kills.test.ts
+++ b/test/kills.test.ts
@@ -4,7 +4,7 @@
 import { suite } from './harness.js';
 import { gated, lineManifest } from './parts.js';
 
-const { test, before, after, run } = suite('kills');
+const { test, before, after, restore, run } = suite('kills');
 
 interface Told {
   readonly outcome?: string;
@@ -24,6 +24,7 @@
   await fleet.listed('line', ['line-1']);
 });
 after(() => fleet.end());
+restore(() => fleet.restore());
 
 test('the host switchboard killed while an order runs: unknown at once, and it ran once', async () => {
   const gate = gated(endpoint);
--- a/test/life.test.ts
+++ b/test/life.test.ts
@@ -5,7 +5,7 @@
 import { callJson, Fleet, PORTS, until, type JsonAnswer } from '../src/fleet/fleet.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('lives of processes');
+const { test, before, after, restore, run } = suite('lives of processes');
 
 interface Told {
   readonly title?: string;
@@ -22,6 +22,7 @@
   await fleet.listed('line', ['line-1', 'line-2']);
 });
 after(() => fleet.end());
+restore(() => fleet.restore());
 
 test('a stopping switchboard is unready at once, finishes what it has read and drops nothing, as caller and as host', async () => {
   const hosted = fleet.endpoints[1];
@@ -39,25 +40,31 @@
   const callers = Array.from({ length: 6 }, async () => {
     while (calling) answers.push(await order('app3'));
   });
-  const startTime = performance.now();
-  const gone = daemon?.end('SIGTERM');
-  await until('unready', async () => daemon !== undefined && !(await fleet.isReady(daemon)));
-  const late = await order('app2');
-  assert.equal([late.status, late.headers['connection']], [200, 'close'], JSON.stringify(late));
-  await until('its door is closed', async () => callJson('GET', fleet.orderUrl('app2', '/line/1')).then(() => false, () => true));
-  const soFar = answers.length;
-  await until('traffic goes on', () => answers.length > soFar + 100);
-  for (const core of [...fleet.directories.values(), ...fleet.ratebooks.values()]) {
-    assert.is(await core.end('SIGTERM'), 0, `${core.program}: ${core.errors}`);
-    await core.start();
-    await fleet.ready(core);
+  try {
+    const startTime = performance.now();
+    const gone = daemon?.end('SIGTERM');
+    await until('unready', async () => daemon !== undefined && !(await fleet.isReady(daemon)));
+    const late = await order('app2');
+    assert.equal([late.status, late.headers['connection']], [200, 'close'], JSON.stringify(late));
+    await until('its door is closed', async () => callJson('GET', fleet.orderUrl('app2', '/line/1')).then(() => false, () => true));
+    const soFar = answers.length;
+    await until('traffic goes on', () => answers.length > soFar + 100);
+    for (const core of [...fleet.directories.values(), ...fleet.ratebooks.values()]) {
+      assert.is(await core.end('SIGTERM'), 0, `${core.program}: ${core.errors}`);
+      await core.start();
+      await fleet.ready(core);
+    }
+    await until('the long orders outlast the allowance of a shutdown', () => performance.now() - startTime > 6000);
+    assert.ok((hosted?.running ?? 0) >= 4);
+    open();
+    assert.is(await gone, 0);
+    calling = false;
+    await Promise.all(callers);
+  } finally {
+    open();
+    calling = false;
+    await Promise.allSettled([...callers, ...long]);
   }
-  await until('the long orders outlast the allowance of a shutdown', () => performance.now() - startTime > 6000);
-  assert.ok((hosted?.running ?? 0) >= 4);
-  open();
-  assert.is(await gone, 0);
-  calling = false;
-  await Promise.all(callers);
   assert.equal((await Promise.all(long)).map((answer) => answer.status).filter((status) => status !== 200), []);
   const turnedAway = answers.filter((answer) => answer.status !== 200);
   assert.ok(turnedAway.every((answer) => answer.headers['opalstair-outcome'] === 'not-run'), turnedAway.map((answer) => `${answer.status} ${answer.body.title}`).join());
@@ -85,6 +92,7 @@
   const daemon = fleet.switchboards.get('app3');
   daemon?.signal('SIGSTOP');
   const waiting = order('app3', '', 'GET');
+  waiting.catch(() => undefined);
   const serial = await fleet.push({ services: [{ name: 'line' }], bindings: [{ id: 'moved', service: 'line', prefix: '/moved' }] });
   await fleet.inForce(serial, ['app1', 'app2']);
   await until('the freeze is long enough to be suspected', async () => {
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -11,7 +11,7 @@
 import { writeBson } from '../src/connection/wire.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('operators');
+const { test, before, after, restore, run } = suite('operators');
 
 interface Operation {
   readonly 'x-programs': readonly string[];
@@ -44,6 +44,7 @@
   fleet = await Fleet.start({ switchboards: 1, zones: 1, flags: { directory: ['--change-ms', '1500'] } });
 });
 after(() => fleet.end());
+restore(() => fleet.restore());
 
 test('opalctl takes a manifest through its whole life and says how each call ended', async () => {
   const good = fileOf('good.json', manifest);
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -4,7 +4,7 @@
 import type { Behaviour, RunRecord, StandInEndpoint } from '../src/fleet/standInEndpoint.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('orders');
+const { test, before, after, restore, run } = suite('orders');
 
 interface Told {
   readonly outcome?: string;
@@ -56,6 +56,7 @@
   await order('GET', '/port/0');
 });
 after(() => fleet.end());
+restore(() => fleet.restore());
 
 test('headers and bodies pass whole, what belongs to a hop or to opalstair does not', async () => {
   behave('serves');
