Restore the platform's fleet after a test that failed, as the other fleets are

Cause: its tests lean on endpoints that the one before them leaves; one that stops halfway left others of the same service or frozen processes, and each later one waited a minute in vain.

--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -175,6 +175,20 @@
     })));
   }
 
+  /** Brings every process back into service, whatever was left frozen, ending or ended; endpoints that are not kept depart, the others serve again. */
+  async restore(kept: readonly PlatformEndpoint[]): Promise<void> {
+    this.endpoints.forEach((endpoint) => endpoint.refresh());
+    this.daemons().forEach((daemon) => daemon.signal('SIGCONT'));
+    await Promise.all(this.daemons().filter((daemon) => daemon.isEnding).map((daemon) => daemon.end('SIGKILL')));
+    await Promise.all(this.daemons().filter((daemon) => !daemon.isRunning).map((daemon) => daemon.start()));
+    await Promise.all(this.daemons().map((daemon) =>
+      until(`${daemon.program} ${daemon.adminAddress} ready`, () => callJson('GET', `http://${daemon.adminAddress}/ready`).then((answer) => answer.status === 200, () => false))));
+    for (const endpoint of this.endpoints.filter((one) => one.isAlive && !kept.includes(one))) {
+      await endpoint.depart();
+      await endpoint.die();
+    }
+  }
+
   /** Ends everything and removes the data. */
   async end(): Promise<void> {
     this.endpoints.forEach((endpoint) => endpoint.stopBeating());
--- a/test/platformEndpoints.test.ts
+++ b/test/platformEndpoints.test.ts
@@ -5,7 +5,7 @@
 import { configurationOf, rawExchange, routeOf, type PlatformTold } from './platformParts.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('platform endpoints');
+const { test, before, after, restore, run } = suite('platform endpoints');
 
 let fleet: PlatformFleet;
 let lasting: PlatformEndpoint;
@@ -32,6 +32,11 @@
   await fleet.listed('line', [lasting]);
 });
 after(() => fleet.end());
+restore(async () => {
+  await fleet.restore([]);
+  lasting = await fleet.endpoint('app2', { slots: 30 });
+  await fleet.listed('line', [lasting]);
+});
 
 test('an address that another instance took over: the request is not run there, but elsewhere, or it is promised not to run', async () => {
   const former = await fleet.endpoint('app1', { slots: 30 });
--- a/test/platformFaults.test.ts
+++ b/test/platformFaults.test.ts
@@ -6,7 +6,7 @@
 import { configurationOf, routeOf, type PlatformTold } from './platformParts.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('platform faults');
+const { test, before, after, restore, run } = suite('platform faults');
 
 let fleet: PlatformFleet;
 let endpoints: readonly PlatformEndpoint[] = [];
@@ -44,6 +44,7 @@
   await fleet.listed('line', endpoints);
 });
 after(() => fleet.end());
+restore(() => fleet.restore(endpoints));
 
 const broken = ['cutOff', 'answerLost', 'resetAfterRun', 'garbage', 'noSeal', 'otherId', 'encoded', 'dropsUnread', 'silent'] as const;
 for (const behaviour of broken) {
--- a/test/platformLinks.test.ts
+++ b/test/platformLinks.test.ts
@@ -5,7 +5,7 @@
 import { configurationOf, routeOf, type PlatformTold } from './platformParts.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('platform links');
+const { test, before, after, restore, run } = suite('platform links');
 
 let fleet: PlatformFleet;
 let endpoint: PlatformEndpoint;
@@ -29,6 +29,7 @@
   await fleet.listed('line', [endpoint]);
 });
 after(() => fleet.end());
+restore(() => fleet.restore([endpoint]));
 
 test('requests one after another share a connection', async () => {
   for (let count = 0; count < MANY; count += 1) {
--- a/test/platformRoutes.test.ts
+++ b/test/platformRoutes.test.ts
@@ -6,7 +6,7 @@
 import { configurationOf, rawExchange, routeOf, type PlatformTold } from './platformParts.js';
 import { suite } from './harness.js';
 
-const { test, before, after, run } = suite('platform routes');
+const { test, before, after, restore, run } = suite('platform routes');
 
 let fleet: PlatformFleet;
 let line: PlatformEndpoint;
@@ -29,6 +29,7 @@
   await fleet.listed('port', [port]);
 });
 after(() => fleet.end());
+restore(() => fleet.restore([line, port]));
 
 test('a request goes by its host and the longest prefix, and gets a 404 where no route is', async () => {
   for (const [path, service, host] of [
