Damage the newest whole copy, not a write that the kill cut short

Cause: the test killed a ratebook as soon as its folder held any file. On a busy machine the acknowledged manifest was still being written there, and the newest name was the unfinished file, which a start rightly drops: nothing was damaged. Now it waits for the whole copy of what was acknowledged and passes unfinished files over. Ruled out: damage that goes unnoticed.

--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -159,9 +159,10 @@
 test('a damaged file is noticed, does not vote, and the others go on; old copies are mended', () => withFleet({ switchboards: 1, zones: 1, flags: { ratebook: ['--replace-after-ms', '0'], directory: ['--change-ms', '4000'] } }, async (fleet) => {
   const serial = await fleet.push(manifestOf('whole'));
   const folder = join(fleet.folder, 'core2', 'registers', 'manifest');
-  await until('the copy is there', () => existsSync(folder) && readdirSync(folder).length > 0);
+  const newestWhole = (): string => (existsSync(folder) ? readdirSync(folder) : []).filter((name) => !name.endsWith('.aside')).sort().at(-1) ?? '';
+  await until('the copy is there', () => newestWhole() !== '' && readFileSync(join(folder, newestWhole())).includes('whole'));
   await fleet.ratebooks.get('core2')?.end('SIGKILL');
-  const newest = readdirSync(folder).sort().at(-1) ?? '';
+  const newest = newestWhole();
   const bytes = readFileSync(join(folder, newest));
   bytes[bytes.length - 2] = (bytes[bytes.length - 2] ?? 0) ^ 0xff;
   writeFileSync(join(folder, newest), bytes);
