Ask for the serial in force before a core is split, not what one node has heard of

Cause: the base of the changes was taken from a switchboard that had not yet heard the first manifest, and an owner whose lease still held rightly answered 409 to a stale base. Now the serial is read from the core and in force everywhere before the split.

--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -82,10 +82,11 @@
 }));
 
 test('a core split three ways acknowledges nothing; whole again it has lost nothing', () => withCore({ relayed: true, flags: { directory: ['--change-ms', '1500'] } }, async (fleet, maker, sample) => {
+  const { body: { serial } } = await callJson<{ readonly serial: number }>('GET', `${fleet.operator()}/v1/manifest`);
+  await fleet.inForce(serial);
   fleet.relay.split(['core1'], ['core2', 'core3']);
   fleet.relay.split(['core2'], ['core3']);
   const manifests = ['core1', 'core2', 'core3'].map(() => maker.nextManifest());
-  const serial = (await fleet.state('app1'))?.manifest ?? 0;
   const lease = until('the owner\'s lease has run out', async () => (await callJson('GET', `${fleet.operator('core2')}/v1/manifest`)).status === 503);
   await lease;
   const answers = await Promise.all(manifests.map((manifest, index) => callJson<{ readonly outcome?: string }>('PUT', `${fleet.operator(`core${index + 1}`)}/v1/manifest`, { base: serial, manifest })));
