Ask seeds that were not there yet again soon, and at once when listening

Cause: when every process is started at the same moment, directories listen 0.2 s before the ratebooks, which are the seeds. Their first question went unheard and the next came four probes (2 s) later: the ratebooks had their keys 1.05 s after the kill, directories heard of it at 2.83 s, switchboards at 3.15 s. Ruled out: claims and leases (done 0.15 s after the ratebooks listen); hanging connections (none). Now a process asks seeds that it does not know, or anybody as long as it knows no directory, after a quarter of the time that it has been there: at each look at first, once in four probes in the long run, as before.

Conclusion: what is left is the start of the processes and the directories' warming (no list of endpoints for 1.5 s).

--- a/src/process/members.ts
+++ b/src/process/members.ts
@@ -76,6 +76,8 @@
 /** The whole list costs bytes that grow with the mesh, so in calm times it is asked for seldom. */
 const SYNC_PROBES = 4;
 const CALM_PROBES = 20;
+/** One that starts asks again after this part of the time that it has been there: soon at first, when the others are starting too. */
+const CALL_PART = 0.25;
 
 const rank: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, gone: 2 };
 const keyOf = (member: Member): string => `${member.role}/${member.name}`;
@@ -94,6 +96,8 @@
   private probeCount = 0;
   private lastProbe: Instant;
   private lastSync: Instant;
+  private lastCall: Instant;
+  private seededAt: Instant;
   private refutations = 0;
   private lastNews: Instant = -Infinity as Instant;
   private lastPartner: Instant = -Infinity as Instant;
@@ -102,6 +106,8 @@
     this.self = self;
     this.lastProbe = (clock.now() - rules.probeMs) as Instant;
     this.lastSync = (clock.now() - 10 * rules.probeMs) as Instant;
+    this.lastCall = this.lastSync;
+    this.seededAt = clock.now();
   }
 
   /** Every process that is not gone, this one first. */
@@ -116,6 +122,7 @@
 
   reseed(seeds: readonly Address[]): void {
     this.seeds = seeds;
+    this.seededAt = this.clock.now();
   }
 
   /** Time passes: probes fall due, suspicions run out. */
@@ -134,7 +141,11 @@
     }
     if (now - this.lastSync >= SYNC_PROBES * this.rules.probeMs) {
       this.lastSync = now;
+      this.lastCall = now;
       commands.push(...this.askForAll(now));
+    } else if (now - this.lastCall >= CALL_PART * (now - this.seededAt)) {
+      this.lastCall = now;
+      commands.push(...this.callAgain());
     }
     return commands;
   }
@@ -209,12 +220,23 @@
 
   /** Seeds that are not known are asked each time; a random member only after news, and now and then all the same. */
   private askForAll(now: Instant): readonly MemberCommand[] {
-    const known = new Set(this.living().map((member) => member.member));
-    const strangers = this.seeds.filter((seed) => !known.has(seed) && seed !== this.self.member);
     const isDue = now - this.lastNews < CALM_PROBES * this.rules.probeMs || now - this.lastPartner >= CALM_PROBES * this.rules.probeMs;
     const partner = isDue ? this.pick(1, '').map((member) => member.member) : [];
     if (isDue) this.lastPartner = now;
-    return [...[...strangers, ...partner].map((to) => this.send(to, 'sync', 0)), ...this.callOnLost()];
+    return [...[...this.strangers(), ...partner].map((to) => this.send(to, 'sync', 0)), ...this.callOnLost()];
+  }
+
+  private strangers(): readonly Address[] {
+    const known = new Set(this.living().map((member) => member.member));
+    return this.seeds.filter((seed) => !known.has(seed));
+  }
+
+  /** Seeds that were not there yet are asked once more, and whoever is there as long as no directory is known: every process needs one. */
+  private callAgain(): readonly MemberCommand[] {
+    const strangers = this.strangers();
+    const isLost = strangers.length === 0 && !this.living().some((member) => member.role === 'directory');
+    const called = isLost ? this.pick(1, '').map((member) => member.member) : strangers;
+    return called.map((to) => this.send(to, 'sync', 0));
   }
 
   /** One that was removed is told so now and then: if it was only cut off, it speaks up, and both sides know of each other again. */
--- a/src/process/membership.ts
+++ b/src/process/membership.ts
@@ -53,6 +53,11 @@
     }));
   }
 
+  /** Speaks to the seeds without waiting for the clock: this process listens now. */
+  announce(): void {
+    this.obey(this.members.tick());
+  }
+
   /** The living processes of one kind. */
   having(role: Role): readonly Member[] {
     return this.members.living().filter((member) => member.role === role);
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -119,6 +119,7 @@
   const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
     ...(door === null || settings.operatorPort === undefined ? [] : [Listener.open(door(clerk, keptBack(settings)), settings.listenHost, settings.operatorPort)])]);
   if (listeners.isErr()) return err(listeners.error);
+  membership.announce();
   desk.start();
   log.info({ event: 'listening', wire: listeners.value[0]?.address, admin: listeners.value[1]?.address });
   return ok({
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -143,6 +143,7 @@
   ]);
   if (listeners.isErr()) return err(listeners.error);
   const [wireDoor, adminDoor, orderDoor, beatDoor, readyDoor] = listeners.value as [Listener, Listener, Listener, Listener, Listener?];
+  membership.announce();
   delivery.start();
   void meetEndpoint();
   reporter.start();
--- a/src/programs/ratebook.ts
+++ b/src/programs/ratebook.ts
@@ -62,6 +62,7 @@
   const admin = adminApp(frame, membership.value, () => books.isReady && !stopping);
   const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort)]);
   if (listeners.isErr()) return err(listeners.error);
+  membership.value.announce();
   books.start();
   log.info({ event: 'listening', disk: replica.value.id, wire: listeners.value[0]?.address, admin: listeners.value[1]?.address });
   return ok({
--- a/test/members.test.ts
+++ b/test/members.test.ts
@@ -14,6 +14,7 @@
   readonly frozen = new Set<string>();
   cut: (from: string, to: string) => boolean = () => false;
   loss = 0;
+  sent = 0;
 
   constructor(seed: number, size: number) {
     this.chance = new Chance(seed);
@@ -63,6 +64,7 @@
   }
 
   private obey(from: string, commands: readonly MemberCommand[]): void {
+    this.sent += commands.filter((command) => command.kind === 'send').length;
     for (const command of commands) {
       if (command.kind !== 'send' || this.frozen.has(command.to) || this.cut(from, command.to) || this.chance.happens(this.loss)) continue;
       const target = this.tables.get(command.to);
@@ -80,6 +82,20 @@
   assert.ok(mesh.pass(2000, () => mesh.everyoneSees(18)) < 2000);
 });
 
+test('those that start a moment before their seeds meet them within half a second of their start, and don\'t call ever faster', () => {
+  const mesh = new Mesh(6, 0);
+  for (let index = 3; index < 8; index += 1) mesh.join(index, 1);
+  mesh.pass(300, () => false);
+  for (let index = 0; index < 3; index += 1) mesh.join(index, 1);
+  assert.ok(mesh.pass(2000, () => mesh.table(5).living().length >= 4) <= 500, 'the seeds are met');
+  const lonely = new Mesh(7, 0);
+  lonely.join(5, 1);
+  lonely.pass(60_000, () => false);
+  const before = lonely.sent;
+  lonely.pass(60_000, () => false);
+  assert.is(lonely.sent - before, 90, 'in the long run each seed is asked once in four probes');
+});
+
 test('with a fifth of all datagrams lost nobody is removed for good', () => {
   const mesh = new Mesh(2, 15);
   mesh.pass(20_000, () => mesh.everyoneSees(15));
