Serve from a directory that is still warming when a switchboard has no list at all

Cause: a directory that starts gives out no list for 1.5 s, lest those that have a whole one swap it for a part. After a fall of every process nobody has one, and everybody waited for that time. Beside it a starting switchboard asked one directory at a time and rested 200 ms after an answer that was not current, looked for its endpoint only once it had a list, and reported to directories once a second. Ruled out: handing parts to everybody (a directory that restarts alone would empty the lists of all). Now a directory gives what it has heard so far to a node that has no list or has its list from that directory; a starting switchboard asks all directories, each answers when it is current, the first such is followed; the endpoint is met as soon as there is a manifest to go by, and a directory that comes up is told at once what is here. What a node may serve by is unchanged: the manifest of a current directory, or after 1.5 s what neighbours have.

--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -22,16 +22,20 @@
   masks: Joi.array().items(Joi.object({ service: text, epoch: whole, serial: whole })).required(), waitMs: Joi.number().min(0).max(30_000).required(),
 });
 
-/** What is news to the asker; `isCurrent` says whether this directory is in touch with the ratebooks' majority. */
+/**
+ * What is news to the asker; `isCurrent` says whether this directory is in touch with the ratebooks' majority, `isWarming`
+ * that it has not yet heard all nodes out: such a list is for those that have none.
+ */
 export interface NodeNews {
   readonly manifest: ManifestDigest | null;
   readonly endpoints: EndpointDigest | null;
   readonly masks: readonly MaskDigest[];
   readonly isCurrent: boolean;
+  readonly isWarming?: boolean;
 }
 export const nodeNewsShape = Joi.object({
   manifest: manifestDigestShape.allow(null).required(), endpoints: endpointDigestShape.allow(null).required(),
-  masks: Joi.array().items(maskDigestShape).required(), isCurrent: Joi.boolean().required(),
+  masks: Joi.array().items(maskDigestShape).required(), isCurrent: Joi.boolean().required(), isWarming: Joi.boolean(),
 });
 
 /** What a neighbour is asked for: a manifest later than the one that the asker has. */
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -21,6 +21,9 @@
 const DIRECTORY_FIRST_MS = 1500;
 /** A node that starts waits so long for a directory that is in touch with a majority before it goes by anybody else's word. */
 const SURE_MS = 1500;
+/** A node that starts asks all directories at once, so long at a time; each answers as soon as it is current. */
+const FIRST_HOLD_MS = 300;
+const FIRST_REST_MS = 50;
 const NEIGHBOURS_MS = 300;
 const NEIGHBOURS_ASKED = 5;
 const NEIGHBOUR_ANSWER_MS = 500;
@@ -51,6 +54,7 @@
   private currentAt: Instant;
   private readonly startedAt: Instant;
   private hasHeardCurrent = false;
+  private hasBeenReady = false;
   private readonly pollTime: Histogram;
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly onEndpoints: (rows: readonly EndpointRow[]) => void, private readonly onUnmasked: (rows: readonly EndpointRow[]) => void) {
@@ -63,11 +67,12 @@
     new Gauge({ name: 'opalstair_masked_endpoints', help: 'Endpoints masked for all callers', labelNames: ['service'], registers, collect() { masked().forEach((mask, service) => this.set({ service }, mask.entries.length)); } });
     this.pollTime = new Histogram({ name: 'opalstair_poll_seconds', help: 'Time that a directory took to answer, held questions included', registers, buckets: [0.01, 0.1, 0.5, 1, 2] });
     frame.stalls.onStall(() => { this.refreshed = this.askOnce(); });
+    membership.onChange(() => this.news.wake());
   }
 
   start(): void {
     setInterval(() => void this.askNeighbours(), NEIGHBOURS_MS).unref();
-    void this.follow();
+    void this.meetDirectories().then(() => this.follow());
   }
 
   /** A digest is in force: orders can be matched and endpoints picked. */
@@ -84,6 +89,11 @@
     return !this.hasHeardCurrent && this.frame.clock.now() - this.startedAt < SURE_MS;
   }
 
+  /** Resolves once a manifest is in force that this node may go by, or at the stop. */
+  async begun(): Promise<void> {
+    while (!this.isStopping && (this.inForce.serial === 0 || this.isUnsure)) await this.news.wait(100 as Millis);
+  }
+
   now(): InForce {
     return this.inForce;
   }
@@ -142,6 +152,27 @@
     this.news.wake();
   }
 
+  /** At the start every directory is asked: the first that is current is followed. */
+  private async meetDirectories(): Promise<void> {
+    const isOver = (): boolean => this.isStopping || this.hasHeardCurrent || this.frame.clock.now() - this.startedAt >= SURE_MS;
+    const asked = new Set<Address>();
+    const meet = async (directory: Address): Promise<void> => {
+      while (!isOver()) {
+        const news = await this.ask(directory, FIRST_HOLD_MS);
+        if (news.isOk()) this.hear(news.value, directory);
+        if (!isOver()) await new Promise((settle) => { setTimeout(settle, FIRST_REST_MS); });
+      }
+    };
+    while (!isOver()) {
+      const fresh = this.membership.having('directory').filter(({ wire }) => !asked.has(wire));
+      for (const { wire } of fresh) {
+        asked.add(wire);
+        void meet(wire);
+      }
+      await this.news.wait(100 as Millis);
+    }
+  }
+
   private async follow(): Promise<void> {
     while (!this.isStopping) {
       const directory = this.chosenDirectory ?? this.nextDirectory(null);
@@ -151,7 +182,7 @@
       }
       this.chosenDirectory = directory;
       const news = await this.ask(directory, HOLD_MS);
-      if (news.isOk()) this.hear(news.value);
+      if (news.isOk()) this.hear(news.value, directory);
       else void this.askOnce();
       if (news.isErr() || !news.value.isCurrent) {
         this.chosenDirectory = this.nextDirectory(directory);
@@ -184,7 +215,7 @@
       setTimeout(settle, ASK_ONCE_MS);
       for (const { wire } of this.membership.having('directory')) {
         void this.ask(wire, 0).then((answer) => answer.map((news) => {
-          this.hear(news);
+          this.hear(news, wire);
           if (news.isCurrent) settle();
         }));
       }
@@ -213,13 +244,14 @@
     this.isAskingNeighbours = false;
   }
 
-  /** A directory's answer. */
-  private hear(news: NodeNews): void {
+  /** A directory's answer; the list of one that is still warming counts only from the one that is followed. */
+  private hear(news: NodeNews, directory: Address): void {
     if (news.isCurrent) {
       this.currentAt = this.frame.clock.now();
+      if (!this.hasHeardCurrent) this.chosenDirectory = directory;
       this.hasHeardCurrent = true;
     }
-    this.learn(news);
+    this.learn(news.isWarming === true && directory !== this.chosenDirectory ? { ...news, endpoints: null } : news);
   }
 
   private learn(news: NodeNews): void {
@@ -236,6 +268,10 @@
       this.endpoints = endpoints;
       this.onEndpoints(endpoints.rows);
     }
+    if (!this.hasBeenReady && this.isReady) {
+      this.hasBeenReady = true;
+      this.frame.log.info({ event: 'ready', afterMs: Math.round(this.frame.clock.now() - this.startedAt) });
+    }
     this.news.wake();
   }
 }
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -133,13 +133,15 @@
     return {};
   }
 
+  /** Answers a node when there is news; one that starts, when this directory is in touch with a majority. */
   async poll(message: NodePoll): Promise<NodeNews> {
     this.noteForce(message);
     if (message.masks.some((had) => this.isUnknown(had))) this.masks.learn(await this.links.masksOf([message.node]));
     const look = (): NodeNews | null => {
       const news = this.newsFor(message);
-      const isNews = news.manifest !== null || news.endpoints !== null || news.masks.length > 0 || !news.isCurrent || this.isStopping;
-      return isNews ? news : null;
+      const hasNews = news.manifest !== null || news.endpoints !== null || news.masks.length > 0;
+      const isEnough = news.isCurrent ? hasNews : message.manifest > 0;
+      return isEnough || this.isStopping ? news : null;
     };
     return (await this.news.until(look, message.waitMs as Millis)) ?? this.newsFor(message);
   }
@@ -182,13 +184,15 @@
 
   private newsFor(message: NodePoll): NodeNews {
     const manifest = this.follower.manifest();
-    const endpoints = this.registry.current();
+    const warm = this.registry.current();
+    const hasNone = message.directory === '' || message.directory === this.frame.boot;
+    const endpoints = warm ?? (hasNone ? this.registry.early() : null);
     const hasEndpoints = endpoints === null || (message.directory === endpoints.directory && message.endpoints === endpoints.serial);
     const masks = this.masks.all().filter((mask) => {
       const had = message.masks.find((one) => one.service === mask.service);
       return had === undefined || mask.epoch > had.epoch || (mask.epoch === had.epoch && mask.serial > had.serial);
     });
-    return { manifest: manifest !== null && manifest.serial > message.manifest ? { serial: manifest.serial, manifest: { ...manifest.manifest, source: null } } : null, endpoints: hasEndpoints ? null : endpoints, masks, isCurrent: this.follower.isCurrent() };
+    return { manifest: manifest !== null && manifest.serial > message.manifest ? { serial: manifest.serial, manifest: { ...manifest.manifest, source: null } } : null, endpoints: hasEndpoints ? null : endpoints, masks, isCurrent: this.follower.isCurrent(), isWarming: warm === null };
   }
 
   /** A node asks with the newest serial for the first time: from now on it is known to be in force there. */
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -55,6 +55,11 @@
     return this.clock.now() - this.startedAt < this.warmMs ? null : this.digest;
   }
 
+  /** What was heard so far, for nodes that have no other list; null while that is nothing. */
+  early(): EndpointDigest | null {
+    return this.digest.rows.length === 0 ? null : this.digest;
+  }
+
   rowsOf(service: ServiceName): readonly EndpointRow[] {
     return this.digest.rows.filter((row) => row.service === service);
   }
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -21,10 +21,12 @@
   private turn = 0;
   private isClosing = false;
   private isDue = false;
+  private met: ReadonlySet<string> = new Set();
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly endpoints: LocalEndpoints, private readonly book: OutcomeBook, private readonly serialNow: () => Serial) {}
 
   start(): void {
+    this.membership.onChange(() => this.meet());
     setInterval(() => void this.sendList(), LIST_MS).unref();
     setInterval(() => void this.sendOutcomes(), OUTCOMES_MS).unref();
   }
@@ -45,6 +47,14 @@
     await Promise.race([this.sendList(), new Promise((settle) => { setTimeout(settle, 300); })]);
   }
 
+  /** A directory that has just come up hears at once what is here. */
+  private meet(): void {
+    const boots = this.membership.having('directory').map(({ boot }) => boot);
+    const isNew = boots.some((boot) => !this.met.has(boot));
+    this.met = new Set(boots);
+    if (isNew) this.changed();
+  }
+
   private async sendList(): Promise<void> {
     this.sequence += 1;
     const { settings, boot } = this.frame;
--- a/src/process/storeFollower.ts
+++ b/src/process/storeFollower.ts
@@ -77,13 +77,19 @@
       if (answer.isErr()) await this.news.wait(RETRY_MS);
       else {
         this.answeredAt = new Map([...this.answeredAt, [address, this.frame.clock.now()]]);
-        if (answer.value.isCurrent) this.currentAt = this.frame.clock.now();
         for (const { key, entry } of answer.value.entries) this.learn(key, entry);
+        if (answer.value.isCurrent) this.becomeCurrent();
       }
     }
     this.followed = new Set([...this.followed].filter((known) => known !== address));
   }
 
+  private becomeCurrent(): void {
+    const wasCurrent = this.isCurrent();
+    this.currentAt = this.frame.clock.now();
+    if (!wasCurrent) this.news.wake();
+  }
+
   private learn(key: KeyName, entry: Entry): void {
     if (entry.serial <= this.serialOf(key)) return;
     this.entries = new Map([...this.entries, [key, entry]]);
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -104,7 +104,7 @@
   const meetEndpoint = async (): Promise<void> => {
     const { endpointAt, callingService, zone } = settings;
     if (endpointAt === undefined || callingService === undefined) return;
-    while (!closing && !delivery.isReady) await new Promise((settle) => { setTimeout(settle, 50); });
+    await delivery.begun();
     await hosting.meet(endpointAt, callingService as ServiceName, zone);
   };
   const server = wireServer(frame);
--- a/test/life.test.ts
+++ b/test/life.test.ts
@@ -107,6 +107,24 @@
   assert.is((await fleet.state('app3'))?.manifest, before?.manifest);
 });
 
+test('directories that have not heard all nodes out hand what they know to switchboards that start with nothing', async () => {
+  const usual = new Map(fleet.directories);
+  await Promise.all([...usual.values(), ...fleet.switchboards.values()].map((daemon) => daemon.end('SIGKILL')));
+  for (const core of fleet.cores) fleet.directories.set(core.name, fleet.daemon('directory', core, PORTS.directoryAdmin, ['--warm-ms', '3600000']));
+  const started = [...fleet.directories.values(), ...fleet.switchboards.values()];
+  await Promise.all(started.map((daemon) => daemon.start()));
+  await fleet.listed('line', ['line-1', 'line-2']);
+  await until('service', async () => (await Promise.all(['app1', 'app2', 'app3'].map((machine) => order(machine)))).every((answer) => answer.status === 200));
+  assert.equal(await Promise.all([...fleet.directories.values()].map((daemon) => fleet.isReady(daemon))), [false, false, false]);
+  for (const [name, daemon] of usual) {
+    await fleet.directories.get(name)?.end('SIGKILL');
+    fleet.directories.set(name, daemon);
+    await daemon.start();
+    await fleet.ready(daemon);
+  }
+  await fleet.listed('line', ['line-1', 'line-2']);
+});
+
 test('SIGHUP takes changed settings and keeps the old ones when they are wrong', async () => {
   const file = join(fleet.folder, 'switchboard.json');
   writeFileSync(file, JSON.stringify({ logLevel: 'info' }));
