Let ratebooks catch up at a majority when they start, without an owner or a lease

Cause: a ratebook said that it was in touch with a majority only after its first round of identities, 0.5 s after its start, and a directory whose question was held heard of that 0.7 s later at worst; starting switchboards go by nobody before. It also said so while it still knew nothing that was committed: a directory could be current and behind. Ruled out: the claims (0.15 s after the ratebooks listen, of which 0.1 s is the wait before the first). Now a ratebook asks a majority what each has accepted, from its start on until it knows as much as any of them, and counts as current only then; it asks anew after a stall and after a time without a majority. Its own entry is known to be committed when it is the latest of that majority and a majority accepted it under the epoch promised last. An answer held by a ratebook is given as soon as it becomes current. The seeded runs look around at random times: nothing found committed was ever superseded, and nobody who had caught up lacked an acknowledged serial.

--- a/src/connection/storeCalls.ts
+++ b/src/connection/storeCalls.ts
@@ -21,7 +21,7 @@
 export interface AskMessage { readonly key: KeyName; readonly rosterSerial: number; readonly ask: RegisterAsk }
 export const askShape = Joi.object({
   key: text, rosterSerial: whole,
-  ask: Joi.object({ kind: Joi.string().valid('inquire', 'claim', 'renew', 'accept', 'release').required(), epoch: whole, holder: text, leaseMs: Joi.number().min(0), isMending: Joi.boolean(), entry: entryShape }).required(),
+  ask: Joi.object({ kind: Joi.string().valid('show', 'inquire', 'claim', 'renew', 'accept', 'release').required(), epoch: whole, holder: text, leaseMs: Joi.number().min(0), isMending: Joi.boolean(), entry: entryShape }).required(),
 });
 
 export interface IdentityMessage { readonly id: DiskId; readonly isEmpty: boolean; readonly isSpare: boolean; readonly voters: Voters | null }
@@ -61,9 +61,10 @@
 export interface CommittedMessage { readonly key: KeyName; readonly entry: Entry }
 export const committedShape = Joi.object({ key: text, entry: entryShape.required() });
 
-export interface PollMessage { readonly manifest: Serial; readonly roster: Serial; readonly waitMs: number }
-export const pollShape = Joi.object({ manifest: whole, roster: whole, waitMs: Joi.number().min(0).max(30_000).required() });
-/** `isCurrent` says that this ratebook has lately heard from a majority. */
+/** `isCurrent` is what this ratebook said last: a change of it is news. */
+export interface PollMessage { readonly manifest: Serial; readonly roster: Serial; readonly waitMs: number; readonly isCurrent?: boolean }
+export const pollShape = Joi.object({ manifest: whole, roster: whole, waitMs: Joi.number().min(0).max(30_000).required(), isCurrent: Joi.boolean() });
+/** `isCurrent` says that this ratebook has lately heard from a majority and knows all that it had committed. */
 export interface PollAnswer { readonly entries: readonly CommittedMessage[]; readonly isCurrent: boolean }
 export const pollAnswerShape = Joi.object({ entries: Joi.array().items(committedShape).required(), isCurrent: Joi.boolean().required() });
 
--- a/src/fleet/storeSim.ts
+++ b/src/fleet/storeSim.ts
@@ -3,6 +3,7 @@
 import { LostDefect, type Defect } from '../process/defect.js';
 import { KeyOwner, type ChangeDefect } from '../process/keyOwner.js';
 import { hasVote, isFenced, NoVote, OldRoster, type VoterLink } from '../process/quorum.js';
+import { CatchUp } from '../process/catchUp.js';
 import { Register, type Grant, type RegisterAsk, type RegisterReply, type RegisterState } from '../process/register.js';
 import { copyFromMajority, mergedState } from '../process/spareCopy.js';
 import { nextRosterStep, type Present } from '../process/rosterKeeper.js';
@@ -32,11 +33,13 @@
   private graceUntil: Instant;
   private committed = new Map<KeyName, Entry>();
   private owners: ReadonlyMap<KeyName, KeyOwner>;
+  catchUp: CatchUp;
   boot = 1;
 
   constructor(readonly member: RosterMember, private readonly sim: StoreSim) {
     this.graceUntil = sim.now();
     this.owners = this.makeOwners();
+    this.catchUp = this.makeCatchUp();
   }
 
   voters(): Voters | null {
@@ -64,6 +67,7 @@
     this.committed = new Map();
     this.graceUntil = (this.sim.now() + LEASE_MS) as Instant;
     this.owners = this.makeOwners();
+    this.catchUp = this.makeCatchUp();
   }
 
   ask(voter: RosterMember, key: KeyName, rosterSerial: number, ask: RegisterAsk): Promise<Result<RegisterReply, Defect>> {
@@ -99,6 +103,12 @@
     return isFenced(key, rosterSerial, committedSerial, Math.max(committedSerial, this.disk.get(ROSTER_KEY)?.accepted?.serial ?? 0));
   }
 
+  private makeCatchUp(): CatchUp {
+    return new CatchUp(this, `${this.member.id}@${this.boot}`, [ROSTER_KEY, MANIFEST_KEY], {
+      accepted: (key) => this.disk.get(key)?.accepted ?? null, committedSerial: (key) => this.committed.get(key)?.serial ?? 0, learn: (key, entry) => this.sim.found(this, key, entry),
+    });
+  }
+
   private makeOwners(): ReadonlyMap<KeyName, KeyOwner> {
     const make = (key: KeyName): KeyOwner => new KeyOwner(key, `${this.member.id}@${this.boot}`, this, { now: () => this.sim.now() }, (entry) => this.sim.spread(this, key, entry), () => undefined,
       key === ROSTER_KEY ? (entry) => (entry.value as Roster).members : undefined);
@@ -110,6 +120,10 @@
 export class StoreSim {
   readonly told: Told[] = [];
   readonly history = new Map<number, unknown>();
+  private readonly rosters = new Map<number, unknown>();
+  /** How often a book found an entry committed by itself, and how often one had caught up. */
+  foundCount = 0;
+  caughtUpCount = 0;
   readonly faults: string[] = [];
   /** The books beside its owner's that were told of a serial. */
   private readonly knownBy = new Map<number, ReadonlySet<DiskId>>();
@@ -148,13 +162,24 @@
     });
   }
 
+  /** A book found out by itself that an entry is committed. */
+  found(book: SimBook, key: KeyName, entry: Entry): void {
+    this.foundCount += 1;
+    this.note(key, entry);
+    book.learn(key, entry);
+  }
+
+  /** What is committed under one serial is so for good. */
+  private note(key: KeyName, entry: Entry): void {
+    const history = key === MANIFEST_KEY ? this.history : this.rosters;
+    const known = history.get(entry.serial);
+    if (known !== undefined && JSON.stringify(known) !== JSON.stringify(entry.value)) this.faults.push(`${key} ${entry.serial} was committed as ${JSON.stringify(known)} and as ${JSON.stringify(entry.value)}`);
+    history.set(entry.serial, entry.value);
+  }
+
   /** Tells the other books of a committed entry; resolves once one knows it, or when all the letters were lost. */
   spread(from: SimBook, key: KeyName, entry: Entry): Promise<boolean> {
-    if (key === MANIFEST_KEY) {
-      const known = this.history.get(entry.serial);
-      if (known !== undefined && known !== entry.value) this.faults.push(`serial ${entry.serial} was committed as ${String(known)} and as ${String(entry.value)}`);
-      this.history.set(entry.serial, entry.value);
-    }
+    this.note(key, entry);
     from.learn(key, entry);
     return new Promise((settle) => {
       const others = this.books.filter((book) => book !== from);
@@ -188,6 +213,7 @@
     else if (!calm && dice < 0.967) this.chance.of(this.books).restart();
     else if (!calm && dice < 0.972) this.time += LEASE_MS;
     else if (!calm && dice < 0.99) this.wipe();
+    else if (this.chance.happens(0.6)) this.lookAround(this.chance.of(this.books));
     else this.gossip();
     await new Promise((settle) => { setImmediate(settle); });
   }
@@ -239,6 +265,18 @@
     for (const key of [MANIFEST_KEY, ROSTER_KEY]) if (book.owner(key).serving) void book.owner(key).renew();
   }
 
+  /** A book that says it has caught up knows all that was acknowledged before it asked. */
+  private lookAround(book: SimBook): void {
+    const acknowledged = Math.max(0, ...this.told.filter((one) => one.outcome === 'acknowledged').map(({ serial }) => serial));
+    book.catchUp.forget();
+    void book.catchUp.look().then((isDone) => {
+      if (!isDone) return;
+      this.caughtUpCount += 1;
+      const known = book.committedEntry(MANIFEST_KEY)?.serial ?? 0;
+      if (known < acknowledged) this.faults.push(`${book.member.id} had caught up with serial ${known} after ${acknowledged} was acknowledged`);
+    });
+  }
+
   private gossip(): void {
     const [from, to] = [this.chance.of(this.books), this.chance.of(this.books)];
     for (const key of [MANIFEST_KEY, ROSTER_KEY]) {
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -4,6 +4,7 @@
 import { Pollers } from '../connection/pollers.js';
 import type { AskMessage, ChangeMessage, CommittedMessage, CopyAnswer, CopyMessage, DumpAnswer, IdentityMessage, OwnerAnswer, PollAnswer, PollMessage, ReplaceMessage, StoreClient } from '../connection/storeCalls.js';
 import { MANIFEST_KEY, ROSTER_KEY, Roster, type Entry, type RosterMember, type Voters } from '../version/entry.js';
+import { CatchUp } from './catchUp.js';
 import { Address, type DiskId, type Epoch, type Instant, type KeyName, type Millis, type Serial } from './brands.js';
 import type { Defect } from './defect.js';
 import { LEASE } from './keyHolder.js';
@@ -21,6 +22,8 @@
 const ASK_MS = 1000;
 const INQUIRE_MS = 300;
 const HEARD_MS = 1500;
+const CATCH_UP_MS = 50;
+const CATCH_UP_MOST_MS = 400;
 const OWNED_KEYS: readonly KeyName[] = [ROSTER_KEY, MANIFEST_KEY];
 
 /** Answers a register's ask: the reply, or the type and words of the defect. */
@@ -48,6 +51,8 @@
   private lastHeard: ReadonlyMap<Address, Instant> = new Map();
   private waitUntil: ReadonlyMap<KeyName, Instant> = new Map();
   private isStopping = false;
+  private isCatchingUp = false;
+  private readonly catchUp: CatchUp;
   private readonly pollers = new Pollers();
   private readonly defects: Counter<'kind'>;
 
@@ -57,6 +62,8 @@
     this.defects = new Counter({ name: 'opalstair_disk_defects_total', help: 'Writes to the disk that failed', labelNames: ['kind'], registers });
     const holder = `${frame.settings.node}/${replica.id}@${frame.boot}`;
     this.owners = new Map(OWNED_KEYS.map((key) => [key, new KeyOwner(key, holder, this, frame.clock, (entry) => this.spread(key, entry), () => mended.inc(), key === ROSTER_KEY ? (entry) => (entry.value as Roster).members : undefined)]));
+    this.catchUp = new CatchUp(this, holder, OWNED_KEYS, { accepted: (key) => replica.accepted(key), committedSerial: (key) => this.serialOf(key), learn: (key, entry) => this.learn({ key, entry }) });
+    frame.stalls.onStall(() => this.fallBehind());
     this.rosterOwner = this.owners.get(ROSTER_KEY) as KeyOwner;
     this.rosterKeeper = new RosterKeeper(this.rosterOwner, () => this.voters(), (spare, members) => this.copyTo(spare, members), frame.clock, rules.size, rules.replaceAfterMs);
     const owners = this.owners;
@@ -73,6 +80,7 @@
     every(500, () => this.renewAll());
     every(500, () => this.meetOthers());
     every(2000, () => this.sweep());
+    void this.catchUpSoon();
   }
 
   /** The roster was reached: this ratebook knows who votes. */
@@ -89,7 +97,9 @@
 
   async ask(voter: RosterMember, key: KeyName, rosterSerial: number, ask: AskMessage['ask']): Promise<Result<RegisterReply, Defect>> {
     if (voter.id === this.replica.id) return this.askHere({ key, rosterSerial, ask });
-    return this.store.ask(voter.address, { key, rosterSerial, ask }, ask.kind === 'inquire' ? INQUIRE_MS : ASK_MS);
+    const answer = await this.store.ask(voter.address, { key, rosterSerial, ask }, ask.kind === 'inquire' || ask.kind === 'show' ? INQUIRE_MS : ASK_MS);
+    if (answer.isOk()) this.lastHeard = new Map([...this.lastHeard, [voter.address, this.frame.clock.now()]]);
+    return answer;
   }
 
   /** An ask of any owner on this disk's copy. */
@@ -150,7 +160,7 @@
   async poll(message: PollMessage): Promise<PollAnswer> {
     const look = (): readonly CommittedMessage[] | null => {
       const news = this.newsFor({ manifest: message.manifest, roster: message.roster });
-      return news.length > 0 || this.isStopping ? news : null;
+      return news.length > 0 || this.isStopping || message.isCurrent === !this.isCurrent() ? news : null;
     };
     const entries = await this.pollers.until(look, message.waitMs as Millis);
     return { entries: entries ?? [], isCurrent: this.isCurrent() };
@@ -184,6 +194,27 @@
   }
 
   private isCurrent(): boolean {
+    return this.catchUp.done && this.hearsMajority();
+  }
+
+  /** Something may have been committed meanwhile that was not heard of here. */
+  private fallBehind(): void {
+    this.catchUp.forget();
+    void this.catchUpSoon();
+  }
+
+  private async catchUpSoon(): Promise<void> {
+    if (this.isCatchingUp) return;
+    this.isCatchingUp = true;
+    for (let rest = CATCH_UP_MS; !this.isStopping && !(await this.catchUp.look()); rest = Math.min(2 * rest, CATCH_UP_MOST_MS)) {
+      if (rest > CATCH_UP_MS) void this.sweep();
+      await new Promise((settle) => { setTimeout(settle, rest).unref(); });
+    }
+    this.isCatchingUp = false;
+    this.pollers.wake();
+  }
+
+  private hearsMajority(): boolean {
     const voters = this.voters();
     if (voters === null) return false;
     const now = this.frame.clock.now();
@@ -254,6 +285,7 @@
       return identity.match((found) => [{ ...found, member }], () => []);
     }));
     const present = met.flat();
+    if (!this.hearsMajority()) this.fallBehind();
     const now = this.frame.clock.now();
     this.lastHeard = new Map([...this.lastHeard, ...present.map(({ member }) => [member.wire, now] as const)]);
     this.addresses = new Map([...this.addresses, ...present.map(({ id, member }) => [id, member.wire] as const)]);
@@ -285,10 +317,10 @@
   /** Finds what a lost message would have told: asks the others for anything newer. */
   private async sweep(): Promise<void> {
     const have = { manifest: this.serialOf(MANIFEST_KEY), roster: this.serialOf(ROSTER_KEY), waitMs: 0 };
-    for (const address of this.others()) {
+    await Promise.all(this.others().map(async (address) => {
       const answer = await this.store.poll(address, have);
       answer.map(({ entries }) => entries.forEach((message) => this.learn(message)));
-    }
+    }));
   }
 
   private serialOf(key: KeyName): Serial {
--- a/src/process/register.ts
+++ b/src/process/register.ts
@@ -18,6 +18,8 @@
 }
 
 export type RegisterAsk =
+  /** What has been accepted here, and under which promise? Changes nothing. */
+  | { readonly kind: 'show'; readonly epoch: 0; readonly holder: Holder }
   /** Would a claim find the key free? Changes nothing. */
   | { readonly kind: 'inquire'; readonly epoch: Epoch; readonly holder: Holder }
   | { readonly kind: 'claim'; readonly epoch: Epoch; readonly holder: Holder; readonly leaseMs: Millis }
@@ -26,6 +28,7 @@
   | { readonly kind: 'release'; readonly epoch: Epoch; readonly holder: Holder };
 
 export type RegisterReply =
+  | { readonly kind: 'shown'; readonly promised: Epoch; readonly acceptedEpoch: number; readonly acceptedSerial: number }
   | { readonly kind: 'free'; readonly promised: Epoch }
   | { readonly kind: 'granted'; readonly accepted: Entry | null }
   | { readonly kind: 'kept'; readonly acceptedEpoch: Epoch; readonly acceptedSerial: number }
@@ -63,6 +66,8 @@
       reply: { kind: 'refused', promised: state.promised, holder: grant?.holder ?? state.holder, leaseLeftMs: Math.max(0, leaseLeft) as Millis },
     });
     switch (ask.kind) {
+      case 'show':
+        return { store: null, grant, reply: { kind: 'shown', promised: state.promised, acceptedEpoch: state.accepted?.epoch ?? 0, acceptedSerial: state.accepted?.serial ?? 0 } };
       case 'inquire':
         return now < leaseEnd ? refused(leaseEnd - now) : { store: null, grant, reply: { kind: 'free', promised: state.promised } };
       case 'claim': {
--- a/src/process/storeFollower.ts
+++ b/src/process/storeFollower.ts
@@ -72,8 +72,10 @@
   }
 
   private async follow(address: Address): Promise<void> {
+    let isCurrent = false;
     while (!this.isStopping && this.ratebooks().includes(address)) {
-      const answer = await this.store.poll(address, { manifest: this.serialOf(MANIFEST_KEY), roster: this.serialOf(ROSTER_KEY), waitMs: HOLD_MS });
+      const answer = await this.store.poll(address, { manifest: this.serialOf(MANIFEST_KEY), roster: this.serialOf(ROSTER_KEY), waitMs: HOLD_MS, isCurrent });
+      isCurrent = answer.isOk() && answer.value.isCurrent;
       if (answer.isErr()) await this.news.wait(RETRY_MS);
       else {
         this.answeredAt = new Map([...this.answeredAt, [address, this.frame.clock.now()]]);
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -3,10 +3,12 @@
 import { StoreSim } from '../src/fleet/storeSim.js';
 import { err, ok } from 'neverthrow';
 import type { Address, ChangeId, DiskId, Epoch, Instant, KeyName, Serial } from '../src/process/brands.js';
+import { CatchUp } from '../src/process/catchUp.js';
 import { UnreachableDefect } from '../src/process/defect.js';
 import { KeyHolder } from '../src/process/keyHolder.js';
 import { KeyOwner } from '../src/process/keyOwner.js';
 import type { VoterLink } from '../src/process/quorum.js';
+import type { Entry } from '../src/version/entry.js';
 import { Register, type Grant, type RegisterState } from '../src/process/register.js';
 import { suite } from './harness.js';
 
@@ -39,13 +41,18 @@
   test(`${SEEDS} seeded runs with losses, restarts and ${wipes} lost disks keep one acknowledged history`, async () => {
     let acknowledged = 0;
     let undecided = 0;
+    let found = 0;
+    let caughtUp = 0;
     for (let seed = 1; seed <= SEEDS; seed += 1) {
       const sim = await drive(seed, wipes);
       assert.equal(sim.faults, [], `seed ${seed}`);
       acknowledged += sim.told.filter((one) => one.outcome === 'acknowledged').length;
+      found += sim.foundCount;
+      caughtUp += sim.caughtUpCount;
       undecided += sim.told.filter((one) => one.outcome === 'undecided').length;
     }
     assert.ok(acknowledged > SEEDS && undecided > 0, `${acknowledged} acknowledged, ${undecided} undecided: the runs reach what they are for`);
+    assert.ok(found > SEEDS && caughtUp > SEEDS, `${found} entries found committed without an owner, ${caughtUp} books caught up`);
   });
 }
 
@@ -99,4 +106,28 @@
   assert.ok((await owner.change({ base: 0 as Serial, value: 'one', id: 'c1' as ChangeId })).isOk());
 });
 
+test('an entry is found committed only at a majority that has promised nothing since, and who knows less than any of a majority has not caught up', async () => {
+  const { world, link } = threeDisks();
+  const entry: Entry = { epoch: 2 as Epoch, serial: 5 as Serial, value: 'five', changes: [] };
+  const state = (promised: number, accepted: Entry | null): RegisterState => ({ promised: promised as Epoch, holder: 'someone', accepted });
+  let known: Entry | null = null;
+  const catchUp = new CatchUp(link, 'a@1', [key], { accepted: () => world.states.get('a')?.accepted ?? null, committedSerial: () => known?.serial ?? 0, learn: (_key, found) => { known = found; } });
+  world.dead = ['c'];
+  assert.ok(await catchUp.look(), 'nothing is accepted anywhere');
+  catchUp.forget();
+  world.states.set('a', state(2, entry));
+  assert.not(await catchUp.look(), 'one disk alone');
+  world.states.set('b', state(3, entry));
+  assert.not(await catchUp.look(), 'a copy under a later promise');
+  assert.is(known, null);
+  world.states.set('b', state(2, entry));
+  assert.ok(await catchUp.look());
+  assert.is(known, entry);
+  catchUp.forget();
+  world.states.set('b', state(4, { ...entry, epoch: 4 as Epoch, serial: 6 as Serial }));
+  assert.not(await catchUp.look(), 'another disk has a later one');
+  world.dead = ['b', 'c'];
+  assert.not(await catchUp.look(), 'no majority');
+});
+
 run();
