--- a/src/programs/ratebook.ts
+++ b/src/programs/ratebook.ts
@@ -77,7 +77,7 @@
   });
 };
 
-await runProgram<RatebookSettings>({
+void runProgram<RatebookSettings>({
   name: 'ratebook', about: 'keeps the control state of opalstair on the disks of the core machines', table,
   start: (frame) => new ResultAsync(start(frame)),
 });
