--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -109,7 +109,7 @@
   const meetEndpoint = async (): Promise<void> => {
     const { endpointAt, callingService, zone } = settings;
     if (endpointAt === undefined || callingService === undefined) return;
-    while (!closing && !delivery.isReady) await new Promise((settle) => { setTimeout(settle, 50); });
+    await delivery.begun();
     await hosting.meet(endpointAt, callingService as ServiceName, zone);
   };
   let hasCarried = false;
@@ -160,6 +160,7 @@
   ]);
   if (listeners.isErr()) return err(listeners.error);
   const [wireDoor, adminDoor, orderDoor, beatDoor, readyDoor] = listeners.value as [Listener, Listener, Listener, Listener, Listener?];
+  membership.announce();
   delivery.start();
   void meetEndpoint();
   void rehearse();
