Send bodies as texts of bytes, in one piece with their heads

Tried because head and body went as two pieces through writev, 12.8 % of a switchboard's processor in a profile.

--- a/src/connection/orderDoor.ts
+++ b/src/connection/orderDoor.ts
@@ -3,7 +3,7 @@
 import type { CallerOrder, Ending } from '../request/forwarder.js';
 import { Defect } from '../process/defect.js';
 import { METHODS } from '../version/manifest.js';
-import { Headers } from './headers.js';
+import { Headers, inOnePiece } from './headers.js';
 import { HeaderText } from './hopCalls.js';
 import type { OwnAnswer, Speech } from './speech.js';
 
@@ -59,7 +59,8 @@
   const kept = Headers.ofAnswer(HeaderText.read(headers), method, status, body.length);
   outgoing.sendDate = false;
   outgoing.writeHead(status, [...kept, ...desk.speech.withAnswer(ending.order), ...(desk.isClosing() ? ['connection', 'close'] : [])]);
-  outgoing.end(method === 'HEAD' || status === 204 || status === 304 ? undefined : body);
+  if (method === 'HEAD' || status === 204 || status === 304) outgoing.end();
+  else outgoing.end(inOnePiece(body), 'latin1');
 };
 
 /** The callers' side: reads orders whole, hands them in and gives the endings back. */
