--- a/src/connection/endpointExchange.ts
+++ b/src/connection/endpointExchange.ts
@@ -4,7 +4,7 @@
 import { Defect } from '../process/defect.js';
 import { HeaderText, type TurnAwayCause, type WholeAnswer } from './hopCalls.js';
 import { EndpointLinks } from './endpointLinks.js';
-import { Headers, inOnePiece } from './headers.js';
+import { Headers } from './headers.js';
 import type { AnswerFacts } from './speech.js';
 
 /** An endpoint's answer may be this long. */
@@ -104,8 +104,7 @@
     const fault = order.fault();
     if (fault !== null) return finish(err(new SeatLost(fault)));
     sending = true;
-    if (order.body.length > 0) sent.end(inOnePiece(order.body), 'latin1');
-    else sent.end();
+    sent.end(order.body.length > 0 ? order.body : undefined);
   });
   sent.on('error', (error) => finish(err(sending ? new BrokenAnswer('the exchange broke', error) : new NoConnection('the endpoint took no connection', error))));
   sent.on('upgrade', () => finish(err(new BrokenAnswer('the endpoint changed the protocol'))));
--- a/src/connection/headers.ts
+++ b/src/connection/headers.ts
@@ -74,6 +74,3 @@
     return record;
   },
 } as const;
-
-/** The runtime sends a text of bytes in one piece with its head; head and buffer would go as two. */
-export const inOnePiece = (body: Uint8Array): string => Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString('latin1');
--- a/src/connection/orderDoor.ts
+++ b/src/connection/orderDoor.ts
@@ -3,7 +3,7 @@
 import type { CallerOrder, Ending } from '../request/forwarder.js';
 import { Defect } from '../process/defect.js';
 import { METHODS } from '../version/manifest.js';
-import { Headers, inOnePiece } from './headers.js';
+import { Headers } from './headers.js';
 import { HeaderText } from './hopCalls.js';
 import type { OwnAnswer, Speech } from './speech.js';
 
@@ -59,8 +59,7 @@
   const kept = Headers.ofAnswer(HeaderText.read(headers), method, status, body.length);
   outgoing.sendDate = false;
   outgoing.writeHead(status, [...kept, ...desk.speech.withAnswer(ending.order), ...(desk.isClosing() ? ['connection', 'close'] : [])]);
-  if (method === 'HEAD' || status === 204 || status === 304) outgoing.end();
-  else outgoing.end(inOnePiece(body), 'latin1');
+  outgoing.end(method === 'HEAD' || status === 204 || status === 304 ? undefined : body);
 };
 
 /** The callers' side: reads orders whole, hands them in and gives the endings back. */
