Count the nodes that share an allowance at each change, not at each request

Cause: every level of every branch asked how many nodes there are, and each asked for a fresh list of all members: nine lists of all processes a request.

--- a/src/process/shareLease.ts
+++ b/src/process/shareLease.ts
@@ -40,6 +40,8 @@
   }
 
   start(): void {
+    this.count();
+    this.membership.onChange(() => this.count());
     setInterval(() => void this.ask(), ASK_MS).unref();
   }
 
@@ -49,15 +51,20 @@
     return FLOOR_PART / this.mostNodes() + (1 - FLOOR_PART) * lent;
   }
 
-  /** The nodes that may share the floor: as the setting says, or more if more were seen; what a split hides stays counted. */
+  /** The nodes that may share the floor: as the setting says, or more if more were seen. */
   private mostNodes(): number {
+    return Math.max(this.highestNodes, this.seen.count);
+  }
+
+  /** Counts the nodes at each change and each second, not at each request; what a split hides stays counted for a while. */
+  private count(): void {
     const now = this.frame.clock.now();
     const here = Math.ceil(this.membership.having('switchboard').length * SPARE_PART);
     if (here >= this.seen.count || now - this.seen.at > SEEN_MS) this.seen = { count: here, at: now };
-    return Math.max(this.highestNodes, this.seen.count);
   }
 
   private async ask(): Promise<void> {
+    this.count();
     const start = this.frame.clock.now();
     const { wants, serviceShares } = this.need();
     const least = Math.max(0, 1 / Math.max(1, serviceShares) - FLOOR_PART / this.mostNodes()) / (1 - FLOOR_PART);
