Let a host name the instances that signed off lately, and end those that others know of

A host that was restarted forgot departures and would list an instance again that goes on beating. Two small hooks for the lists that follow; nothing calls them yet.

--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -178,6 +178,20 @@
     return ok(undefined);
   }
 
+  /** Instances that signed off here lately. */
+  departedLately(): readonly InstanceId[] {
+    const now = this.clock.now();
+    return [...this.departed].filter(([, at]) => now - at < DEPARTED_KEPT_MS).map(([instance]) => instance);
+  }
+
+  /** Others know that these signed off, at an earlier boot of this switchboard perhaps: they are no longer here. */
+  endDeparted(instances: readonly InstanceId[]): void {
+    const now = this.clock.now();
+    const ended = [...this.standing].filter(([, spot]) => instances.includes(spot.said.instance));
+    this.departed = new Map([...this.departed, ...ended.map(([, spot]) => [spot.said.instance, now] as const)]);
+    ended.forEach(([id]) => this.remove(id));
+  }
+
   /** All leave: the machine's switchboard stops. */
   closeAll(): void {
     for (const spot of this.standing.values()) {
