Join directories' lists host by host, with departures that last and drops that a host undoes

Reports come at different moments, so the first half of them lapsed while the rest still counted as heard, was dropped, then half of the rest, and so on. Half of the lapse now tells whether most are heard.

--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -1,9 +1,10 @@
 import Joi from 'joi';
 import type { Address, BootId, EndpointId, InstanceId, NodeName, Serial, ServiceName, ZoneName } from '../process/brands.js';
+import type { HostWord, ServiceMarks } from '../version/endpointList.js';
 import { endpointDigestShape, endpointRowShape, manifestDigestShape, maskDigestShape, type EndpointDigest, type EndpointRow, type ManifestDigest, type MaskDigest } from '../version/digests.js';
 
 /** The calls that a directory takes from switchboards and from other directories. */
-export const NodePath = { poll: '/node/poll', report: '/node/report', outcomes: '/node/outcomes', mask: '/directory/mask', digest: '/node/digest', shares: '/node/shares' } as const;
+export const NodePath = { poll: '/node/poll', report: '/node/report', outcomes: '/node/outcomes', mask: '/directory/mask', digest: '/node/digest', shares: '/node/shares', list: '/directory/list' } as const;
 
 const text = Joi.string().max(256).required();
 const whole = Joi.number().integer().min(0).required();
@@ -49,11 +50,25 @@
   readonly hop: Address;
   readonly manifest: Serial;
   readonly rows: readonly EndpointRow[];
+  /** The sequence with which the list last became what it is. */
+  readonly changed?: number;
+  /** Instances that signed off lately: whatever anybody says, they are not listed again. */
+  readonly departed?: readonly InstanceId[];
+  /** The mark of the list that this node holds. */
+  readonly mark?: string;
 }
 export const nodeReportShape = Joi.object({
   node: text, boot: text, life: Joi.number().required(), sequence: whole, zone: text, hop: text, manifest: whole, rows: Joi.array().items(endpointRowShape).max(10_000).required(),
+  changed: Joi.number().integer().min(0), departed: Joi.array().items(text).max(10_000), mark: Joi.string().allow('').max(64),
 });
 
+/** What a host should know of its report: a later boot's word stands above it, or it names instances that have departed. */
+export interface ReportAnswer {
+  readonly above?: number;
+  readonly departed?: readonly InstanceId[];
+}
+export const reportAnswerShape = Joi.object({ above: Joi.number().min(0), departed: Joi.array().items(text) });
+
 /** The totals of one caller for one endpoint since the caller's boot, and its latest outcomes by age. */
 export interface OutcomeRow {
   readonly service: ServiceName;
@@ -87,5 +102,42 @@
   readonly masks: readonly MaskDigest[];
   readonly from?: NodeName;
   readonly calendar?: string;
+  readonly list?: ListHint;
+}
+const departuresShape = Joi.array().items(Joi.object({ instance: text, agoMs: Joi.number().min(0).required() }));
+export const maskMessageShape = Joi.object({
+  masks: Joi.array().items(maskDigestShape).required(), from: Joi.string().max(64), calendar: Joi.string().allow('').max(64),
+  list: Joi.object({ mark: text, silent: Joi.array().items(text).max(10_000).required(), departed: departuresShape }),
+});
+
+/** What one directory tells another each second of its list of endpoints. */
+export interface ListHint {
+  readonly mark: string;
+  /** Hosts that it does not hear itself. */
+  readonly silent: readonly NodeName[];
+  /** What it learned lately. */
+  readonly departed?: ListNews['departed'];
+}
+
+/** A host's word as one directory passes it on; `silentMs` since it came to it. */
+export interface PassedWord extends HostWord { readonly silentMs: number }
+export interface ListNews {
+  readonly words: readonly PassedWord[];
+  readonly departed: readonly { readonly instance: InstanceId; readonly agoMs: number }[];
+}
+const passedWordShape = Joi.object({
+  node: text, boot: text, life: Joi.number().required(), sequence: whole, changed: whole.allow(null), manifest: whole, isDropped: Joi.boolean().required(),
+  rows: Joi.array().items(endpointRowShape).max(10_000).required(), silentMs: Joi.number().min(0).required(),
+});
+export const listNewsShape = Joi.object({
+  words: Joi.array().items(passedWordShape).required(), departed: departuresShape.required(),
+});
+/** The answer to a mask message: words of hosts that the other does not hear, if it has any. */
+export const maskAnswerShape = Joi.object({ list: listNewsShape });
+
+/** Asks for what differs, by the marks that the asker has. */
+export interface ListAsk {
+  readonly from: NodeName;
+  readonly services: ServiceMarks;
 }
-export const maskMessageShape = Joi.object({ masks: Joi.array().items(maskDigestShape).required(), from: Joi.string().max(64), calendar: Joi.string().allow('').max(64) });
+export const listAskShape = Joi.object({ from: text, services: Joi.object().pattern(Joi.string().max(256), Joi.string().max(64)).required() });
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -1,12 +1,19 @@
-import type { NodeReport } from '../connection/nodeCalls.js';
+import type { ListAsk, ListHint, ListNews, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
 import type { EndpointDigest, EndpointRow } from '../version/digests.js';
-import type { BootId, Instant, Millis, NodeName, Serial, ServiceName } from './brands.js';
+import { EndpointList, ListMark, type HostWord, type ListedWord, type ServiceMarks } from '../version/endpointList.js';
+import type { BootId, EndpointId, InstanceId, Instant, Millis, NodeName, Serial, ServiceName } from './brands.js';
 import type { Clock } from './clock.js';
 
-interface NodeRow {
-  readonly report: NodeReport;
-  readonly heardAt: Instant;
-}
+/** Words that list nothing and marks of departure are kept so long; a silent host is listed half of it at most. */
+export const MARKS_KEPT_MS = 3_600_000;
+const SILENT_LISTED_MS = MARKS_KEPT_MS / 2;
+/** A host counts as heard for this part of the lapse: others pass its word on before it would be dropped. */
+const HEARD_PART = 0.5;
+/** A departure is told to other directories at once and for so long; one that was not heard for longer asks for all. */
+const DEPARTED_TOLD_MS = 15_000;
+/** Hosts that nobody hears are asked after each second at first, then now and then. */
+const ASKED_EACH_MS = 60_000;
+const SELDOM = 10;
 
 /** One switchboard as the directory sees it. */
 export interface NodeView {
@@ -17,37 +24,71 @@
   readonly endpoints: number;
 }
 
-/** The endpoints of all machines, merged from the switchboards' reports; in memory only. */
+/** Something that became of the list, and why. */
+export interface ListEvent {
+  readonly kind: 'joined' | 'dropped' | 'returned' | 'refused';
+  readonly node: NodeName;
+  readonly endpoints: readonly EndpointId[];
+  readonly why: string;
+}
+
+const wordOf = ({ node, boot, life, sequence, changed, manifest, rows, isDropped }: HostWord): HostWord => ({ node, boot, life, sequence, changed, manifest, rows, isDropped });
+
+/** The endpoints of all machines, joined from the switchboards' reports and other directories' words; in memory only. */
 export class Registry {
-  private nodes = new Map<NodeName, NodeRow>();
+  private list = EndpointList.empty;
+  private readonly roseAt = new Map<NodeName, Instant>();
+  private readonly reportedAt = new Map<NodeName, Instant>();
+  private readonly departedAt = new Map<InstanceId, Instant>();
+  private readonly hadRows = new Set<NodeName>();
+  private unconfirmed: ReadonlySet<NodeName> = new Set();
   private serial = 0;
   private digest: EndpointDigest;
+  private serviceMarks: ServiceMarks = {};
+  private wholeMark = ListMark.of([]);
   private readonly startedAt: Instant;
   private markedAt = 0;
+  private hints = 0;
 
-  constructor(private readonly boot: BootId, private readonly clock: Clock, private readonly lapseMs: Millis, private readonly warmMs: Millis, private readonly onChange: () => void, private readonly mark: (rows: readonly EndpointRow[]) => readonly EndpointRow[] = (rows) => rows) {
+  constructor(private readonly boot: BootId, private readonly clock: Clock, private readonly lapseMs: Millis, private readonly warmMs: Millis, private readonly onChange: () => void, private readonly mark: (rows: readonly EndpointRow[]) => readonly EndpointRow[] = (rows) => rows, private readonly tell: (event: ListEvent) => void = () => undefined) {
     this.startedAt = clock.now();
     this.digest = { directory: boot, serial: 0 as Serial, rows: [] };
   }
 
   /** Takes a report unless a later one of that node was heard; whether it changed the list. */
   hear(report: NodeReport): boolean {
-    const known = this.nodes.get(report.node)?.report;
-    const isLater = known === undefined || report.life > known.life || (report.boot === known.boot && report.sequence > known.sequence);
-    if (!isLater) return false;
-    const isSame = known !== undefined && JSON.stringify(known.rows) === JSON.stringify(report.rows);
-    this.nodes.set(report.node, { report, heardAt: this.clock.now() });
-    if (!isSame) this.refresh();
-    return !isSame;
+    const { node, boot, life, sequence, manifest, rows } = report;
+    const known = this.list.word(node);
+    const canNotRise = report.changed === undefined && known !== undefined && known.boot !== boot && this.isSilent(node);
+    if (canNotRise) this.list = this.list.forget([node], []);
+    this.reportedAt.set(node, this.clock.now());
+    const word: HostWord = { node, boot, life, sequence, changed: report.changed ?? null, manifest, rows, isDropped: false };
+    return this.take({ words: [{ ...word, silentMs: 0 }], departed: (report.departed ?? []).map((instance) => ({ instance, agoMs: 0 })) }, null);
+  }
+
+  /** What a host should know after its report. */
+  adviceFor(report: NodeReport): ReportAnswer {
+    const known = this.list.word(report.node);
+    const isBelow = known !== undefined && known.boot !== report.boot && known.life >= report.life;
+    const departed = report.rows.filter((row) => this.list.hasDeparted(row.instance)).map((row) => row.instance);
+    return { ...(isBelow ? { above: known.life } : {}), ...(departed.length > 0 ? { departed } : {}) };
   }
 
-  /** Unlists the endpoints of nodes that fell silent, unless most fell silent at once: then it is this directory that is cut off. */
+  /** Unlists the endpoints of nodes that fell silent, unless most are no longer heard: then it is this directory that is cut off. Reports come at different moments, so half of the lapse tells. */
   sweep(): void {
     this.remark();
-    const silent = [...this.nodes].filter(([, row]) => this.clock.now() - row.heardAt > this.lapseMs).map(([node]) => node);
-    if (silent.length === 0 || (this.nodes.size > 2 && silent.length > this.nodes.size / 2)) return;
-    this.nodes = new Map([...this.nodes].filter(([node]) => !silent.includes(node)));
-    this.refresh();
+    const listed = this.list.words().filter((word) => !word.isDropped).map((word) => word.node);
+    const silent = listed.filter((node) => this.isSilent(node));
+    const unheard = listed.filter((node) => this.silentMs(node) > this.lapseMs * HEARD_PART);
+    const isCutOff = listed.length > 2 && unheard.length > listed.length / 2;
+    const due = isCutOff ? silent.filter((node) => this.silentMs(node) > SILENT_LISTED_MS) : silent;
+    due.forEach((node) => this.note('dropped', node, isCutOff ? 'silent for as long as a silent host is listed' : 'silent, while most hosts are heard'));
+    const unconfirmed = silent.filter((node) => !due.includes(node));
+    const isSame = unconfirmed.length === this.unconfirmed.size && unconfirmed.every((node) => this.unconfirmed.has(node));
+    this.unconfirmed = new Set(unconfirmed);
+    this.list = this.list.drop(due);
+    this.forgetOld();
+    if (due.length > 0 || !isSame) this.refresh();
   }
 
   /** The present list; null while a freshly started directory has not yet heard the nodes out. */
@@ -55,6 +96,11 @@
     return this.clock.now() - this.startedAt < this.warmMs ? null : this.digest;
   }
 
+  /** The same at every process that holds the same list. */
+  get listMark(): string {
+    return this.wholeMark;
+  }
+
   rowsOf(service: ServiceName): readonly EndpointRow[] {
     return this.digest.rows.filter((row) => row.service === service);
   }
@@ -64,12 +110,104 @@
   }
 
   nodeViews(): readonly NodeView[] {
-    const now = this.clock.now();
-    return [...this.nodes.values()].map(({ report, heardAt }) => ({
-      node: report.node, boot: report.boot, manifest: report.manifest, silentMs: Math.round(now - heardAt), endpoints: report.rows.length,
+    return this.list.words().filter((word) => !word.isDropped).map((word) => ({
+      node: word.node, boot: word.boot, manifest: word.manifest, silentMs: Math.round(this.silentMs(word.node)), endpoints: this.list.rowsOf(word).length,
     }));
   }
 
+  /** What the other directories are told each second. */
+  hint(): ListHint {
+    this.hints += 1;
+    const now = this.clock.now();
+    const mostMs = this.hints % SELDOM === 0 ? MARKS_KEPT_MS : ASKED_EACH_MS;
+    const isUnheard = (node: NodeName): boolean => now - (this.reportedAt.get(node) ?? -Infinity) > this.lapseMs * HEARD_PART;
+    const departed = this.departures().filter(({ agoMs }) => agoMs < DEPARTED_TOLD_MS);
+    return { mark: this.wholeMark, ...(departed.length > 0 ? { departed } : {}), silent: this.list.words().filter(({ node }) => isUnheard(node) && this.silentMs(node) <= mostMs).map(({ node }) => node) };
+  }
+
+  /** The words that this directory has itself from hosts that another does not hear; null when there are none. */
+  heardInstead(silent: readonly NodeName[]): ListNews | null {
+    const now = this.clock.now();
+    const words = silent.flatMap((node) => {
+      const word = this.list.word(node);
+      return word === undefined || now - (this.reportedAt.get(node) ?? -Infinity) > this.lapseMs * HEARD_PART ? [] : [this.passed(word)];
+    });
+    return words.length === 0 ? null : { words, departed: [] };
+  }
+
+  askFor(from: NodeName): ListAsk {
+    return { from, services: this.serviceMarks };
+  }
+
+  /** What a directory with other marks lacks. */
+  answer(ask: ListAsk): ListNews {
+    return { words: this.list.wordsFor(ListMark.unlike(this.serviceMarks, ask.services)).map((word) => this.passed(word)), departed: this.departures() };
+  }
+
+  /** Joins what another directory has; whether it changed the list. */
+  learn(from: NodeName, news: ListNews): boolean {
+    return this.take(news, from);
+  }
+
+  private take(news: ListNews, from: NodeName | null): boolean {
+    const now = this.clock.now();
+    const later = news.words.filter((word) => this.list.isLater(word));
+    const departed = news.departed.filter(({ instance, agoMs }) => agoMs < MARKS_KEPT_MS && !this.list.hasDeparted(instance));
+    if (later.length === 0 && departed.length === 0) return false;
+    const former = this.list;
+    this.list = former.join(later.map(wordOf), departed.map(({ instance }) => instance));
+    departed.forEach(({ instance, agoMs }) => this.departedAt.set(instance, (now - agoMs) as Instant));
+    later.forEach((word) => this.roseAt.set(word.node, (now - word.silentMs) as Instant));
+    const changed = later.filter((word) => this.isOther(former, word));
+    changed.forEach((word) => this.noteChange(former.word(word.node), word, from));
+    if (changed.length === 0 && departed.length === 0) return false;
+    this.refresh();
+    return true;
+  }
+
+  private isOther(former: EndpointList, word: HostWord): boolean {
+    const known = former.word(word.node);
+    return known === undefined || known.isDropped !== word.isDropped || known.life !== word.life || JSON.stringify(former.rowsOf(known)) !== JSON.stringify(this.list.rowsOf(word));
+  }
+
+  private noteChange(known: HostWord | undefined, word: HostWord, from: NodeName | null): void {
+    const refused = word.rows.filter((row) => this.list.hasDeparted(row.instance));
+    if (refused.length > 0) this.note('refused', word.node, `departed: ${refused.map((row) => row.instance).join()}`);
+    if (known?.isDropped === true && !word.isDropped) return this.note('returned', word.node, from === null ? 'its host was heard' : `its host is heard by ${from}`);
+    if (from !== null && word.isDropped) return this.note('dropped', word.node, `${from} hears most hosts, this one not`);
+    if (from !== null) this.note('joined', word.node, `a later word of the host, known to ${from}`);
+  }
+
+  private note(kind: ListEvent['kind'], node: NodeName, why: string): void {
+    this.tell({ kind, node, why, endpoints: (this.list.word(node)?.rows ?? []).map((row) => row.id) });
+  }
+
+  private departures(): ListNews['departed'] {
+    const now = this.clock.now();
+    return [...this.departedAt].map(([instance, at]) => ({ instance, agoMs: now - at }));
+  }
+
+  private passed(word: HostWord): PassedWord {
+    return { ...word, silentMs: Math.min(MARKS_KEPT_MS, Math.max(0, this.silentMs(word.node))) };
+  }
+
+  private silentMs(node: NodeName): number {
+    return this.clock.now() - (this.roseAt.get(node) ?? -Infinity);
+  }
+
+  private isSilent(node: NodeName): boolean {
+    return this.silentMs(node) > this.lapseMs;
+  }
+
+  private forgetOld(): void {
+    const now = this.clock.now();
+    const nodes = this.list.words().filter((word) => word.rows.length === 0 && this.silentMs(word.node) > MARKS_KEPT_MS).map((word) => word.node);
+    const departed = [...this.departedAt].filter(([, at]) => now - at > MARKS_KEPT_MS).map(([instance]) => instance);
+    this.list = this.list.forget(nodes, departed);
+    nodes.forEach((node) => [this.roseAt, this.reportedAt, this.hadRows].forEach((table) => table.delete(node)));
+    departed.forEach((instance) => this.departedAt.delete(instance));
+  }
+
   /** Windows open and close with time alone: their marks are looked at once a second. */
   private remark(): void {
     const now = this.clock.now();
@@ -79,11 +217,19 @@
   }
 
   private refresh(): void {
-    const rows = [...this.mark([...this.nodes.values()].flatMap(({ report }) => report.rows))]
-      .sort((one, other) => (`${one.service}/${one.id}/${one.node}` < `${other.service}/${other.id}/${other.node}` ? -1 : 1));
+    const listed = this.list.rows();
+    const told = this.list.words().flatMap((word) => this.list.rowsOf(word).map((row) => ({
+      ...row, ...(word.changed === null ? {} : { life: word.life, changed: word.changed }), ...(this.unconfirmed.has(word.node) ? { unconfirmed: true } : {}),
+    })));
+    const rows = [...this.mark(told)].sort((one, other) => (`${one.service}/${one.id}/${one.node}` < `${other.service}/${other.id}/${other.node}` ? -1 : 1));
     if (JSON.stringify(rows) === JSON.stringify(this.digest.rows)) return;
     this.serial += 1;
-    this.digest = { directory: this.boot, serial: this.serial as Serial, rows };
+    rows.forEach((row) => this.hadRows.add(row.node));
+    const without = this.list.words().flatMap((word): readonly ListedWord[] =>
+      (word.changed !== null && !word.isDropped && this.hadRows.has(word.node) && this.list.rowsOf(word).length === 0 ? [{ node: word.node, boot: word.boot, life: word.life, changed: word.changed }] : []));
+    this.digest = { directory: this.boot, serial: this.serial as Serial, rows, without };
+    this.serviceMarks = ListMark.byService(listed);
+    this.wholeMark = ListMark.whole(this.serviceMarks);
     this.onChange();
   }
 }
--- a/src/version/digests.ts
+++ b/src/version/digests.ts
@@ -1,5 +1,6 @@
 import Joi from 'joi';
 import type { Address, BootId, EndpointId, Epoch, InstanceId, NodeName, Serial, ServiceName, ZoneName } from '../process/brands.js';
+import type { ListedWord } from './endpointList.js';
 import type { Manifest } from './manifest.js';
 
 /** One endpoint as its own machine's switchboard knows it. */
@@ -15,6 +16,11 @@
   readonly nodeBoot: BootId;
   /** In a maintenance window: takes no new orders while others serve. */
   readonly resting?: boolean;
+  /** Its host has not been heard of lately by the directory that tells of it. */
+  readonly unconfirmed?: boolean;
+  /** How late the word of its host is: see `HostWord`. */
+  readonly life?: number;
+  readonly changed?: number;
   /** Where the switchboard of its machine takes orders from other switchboards. */
   readonly hop: Address;
 }
@@ -29,6 +35,8 @@
   readonly directory: BootId;
   readonly serial: Serial;
   readonly rows: readonly EndpointRow[];
+  /** Hosts whose latest word lists nothing. */
+  readonly without?: readonly ListedWord[];
 }
 
 export interface MaskEntry {
@@ -50,12 +58,14 @@
 const whole = Joi.number().integer().min(0).required();
 export const endpointRowShape = Joi.object({
   id: text, service: text, instance: text, address: text, zone: text, slots: whole, leaving: Joi.boolean().required(), node: text, nodeBoot: text, hop: text, resting: Joi.boolean(),
+  unconfirmed: Joi.boolean(), life: Joi.number().min(0), changed: Joi.number().integer().min(0),
 });
 export const maskDigestShape = Joi.object({
   service: text, epoch: whole, serial: whole,
   entries: Joi.array().items(Joi.object({ endpoint: text, instance: text, reason: Joi.string().required(), since: Joi.date().required() })).required(),
 });
-export const endpointDigestShape = Joi.object({ directory: text, serial: whole, rows: Joi.array().items(endpointRowShape).required() });
+const listedWordShape = Joi.object({ node: text, boot: text, life: Joi.number().min(0).required(), changed: whole });
+export const endpointDigestShape = Joi.object({ directory: text, serial: whole, rows: Joi.array().items(endpointRowShape).required(), without: Joi.array().items(listedWordShape) });
 export const manifestDigestShape = Joi.object({ serial: whole, manifest: Joi.object({ services: Joi.array().required(), bindings: Joi.array().required(), health: Joi.object().required(), allowance: Joi.object().required(), limits: Joi.object().required(), source: Joi.string().allow(null) }).required() });
 
 export const MaskDigest = {
