Let the test of an upheld departure fail when no directory keeps the mark

With a directory's marks taken out it passed: the simulation then ends the endpoint. It now asserts that the mark is known; seen red without it.

--- a/test/rejoin.test.ts
+++ b/test/rejoin.test.ts
@@ -152,6 +152,7 @@
   world.cutBy(between(['h0'], ['d0', 'd1', 'd2']));
   await world.pass(4000);
   world.start('h0' as NodeName);
+  assert.is(endpoint.beatsUntil, Infinity, 'a directory knows of the departure');
   world.cutBy(between(['h0'], ['d0']));
   await world.pass(4000, () => assert.not(listedBy(world, 1).includes(endpoint.instance)));
   assert.not((world.hosts.get('h0') as Host).local.listed().some(({ instance }) => instance === endpoint.instance), 'its host was told');
