Let directories join their lists, hosts number theirs, and operators see whether all agree

Reports carry the sequence of the last change, the mark of the list that the node holds and late departures; the answer tells an outranked or forgetful host. Directories add their mark, unheard hosts and late departures to the message that they send each other each second, answer with the words that the other lacks, and ask by service marks when marks differ. Nodes keep the latest word of each host. A switchboard's last word is an empty list. GET /v1/lists, opalctl lists, opalstair_lists_agree, opalstair_list_events_total, list-* log events, `list` in a switchboard's state. All new fields are optional.

--- a/src/connection/operators.ts
+++ b/src/connection/operators.ts
@@ -54,6 +54,7 @@
 export interface OperatorViews {
   readonly fleet: () => object;
   readonly endpoints: () => object;
+  readonly lists: () => object;
   readonly roster: () => object;
   readonly allowances: () => object;
 }
@@ -88,6 +89,7 @@
   app.get('/v1/schema', (context) => context.body(readFileSync(projectFile('schema/opalstair.openapi.json'), 'utf8'), 200, { 'content-type': 'application/json' }));
   app.get('/v1/fleet', (context) => context.json(views.fleet()));
   app.get('/v1/endpoints', (context) => context.json(views.endpoints()));
+  app.get('/v1/lists', (context) => context.json(views.lists()));
   app.get('/v1/roster', (context) => context.json(views.roster()));
   app.get('/v1/allowances', (context) => context.json(views.allowances()));
 };
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -3,6 +3,7 @@
 import { NodePath, nodeNewsShape, type DigestAsk, type NodeNews, type NodePoll } from '../connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
 import { MaskDigest, type EndpointDigest, type EndpointRow, type ManifestDigest } from '../version/digests.js';
+import { HeldList, ListMark } from '../version/endpointList.js';
 import { Manifest, type AllowanceRules, type Binding, type HealthRules } from '../version/manifest.js';
 import { Matcher } from '../version/matcher.js';
 import type { Address, Instant, Millis, Serial, ServiceName } from './brands.js';
@@ -41,6 +42,8 @@
 export class Delivery {
   private inForce: InForce = prepare({ serial: 0 as Serial, manifest: EMPTY });
   private endpoints: EndpointDigest | null = null;
+  private held = HeldList.empty;
+  private mark = '';
   private masks: ReadonlyMap<ServiceName, MaskDigest> = new Map();
   private readonly news = new Pollers();
   private chosenDirectory: Address | null = null;
@@ -116,6 +119,11 @@
     return this.frame.clock.now() - this.currentAt < DIRECTORY_FIRST_MS;
   }
 
+  /** The mark of the list of endpoints that this node goes by; empty before the first. */
+  listMark(): string {
+    return this.mark;
+  }
+
   serial(): Serial {
     return this.inForce.serial;
   }
@@ -232,9 +240,11 @@
     if (later.length > 0) this.masks = new Map([...this.masks, ...later.map((mask) => [mask.service, mask] as const)]);
     if (lifted.length > 0) this.onUnmasked(lifted);
     const endpoints = news.endpoints;
-    if (endpoints !== null && !(this.endpoints?.directory === endpoints.directory && this.endpoints.serial >= endpoints.serial)) {
-      this.endpoints = endpoints;
-      this.onEndpoints(endpoints.rows);
+    if (endpoints !== null && !(this.endpoints?.directory === endpoints.directory && this.endpoints.serial > endpoints.serial)) {
+      this.held = HeldList.after(this.held, endpoints.rows, endpoints.without ?? [], this.frame.clock.now());
+      this.endpoints = { ...endpoints, rows: this.held.rows };
+      this.mark = ListMark.of(this.held.rows);
+      this.onEndpoints(this.held.rows);
     }
     this.news.wake();
   }
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -1,11 +1,12 @@
 import { Gauge, Histogram } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
-import type { MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport } from '../connection/nodeCalls.js';
+import type { ListAsk, ListNews, MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport, ReportAnswer } from '../connection/nodeCalls.js';
 import { MaskDigest, type EndpointRow } from '../version/digests.js';
 import { Windows } from '../version/windows.js';
 import { Manifest, type HealthRules } from '../version/manifest.js';
 import type { Epoch, KeyName, Millis, NodeName, ServiceName } from './brands.js';
 import type { Duties } from './duties.js';
+import { ListAgreement } from './listAgreement.js';
 import { MaskDuty } from './maskDuty.js';
 import { OutcomeMerger } from './outcomeMerger.js';
 import type { Frame } from './program.js';
@@ -26,6 +27,8 @@
 export interface DeskLinks {
   readonly probe: (row: EndpointRow) => Promise<boolean>;
   readonly tellDirectories: (message: MaskMessage) => void;
+  /** What another directory has that this one lacks; null when it does not answer. */
+  readonly askList: (directory: NodeName, ask: ListAsk) => Promise<ListNews | null>;
   /** The masks that the named nodes have, or some of all nodes. */
   readonly masksOf: (nodes: readonly string[] | null) => Promise<readonly MaskDigest[]>;
 }
@@ -46,6 +49,7 @@
 export class Desk {
   readonly registry: Registry;
   readonly masks: MaskDuty;
+  readonly agreement: ListAgreement;
   private readonly merger: OutcomeMerger;
   private readonly shares = new ShareBook();
   private readonly news = new Pollers();
@@ -61,7 +65,8 @@
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly follower: StoreFollower, private readonly duties: Duties, private readonly rules: DeskRules, private readonly links: DeskLinks) {
     const rulesNow = (): HealthRules => follower.manifest()?.manifest.health ?? NO_RULES;
-    this.registry = new Registry(frame.boot, frame.clock, rules.lapseMs, rules.warmMs, () => this.news.wake(), (rows) => this.windows.mark(rows, new Date()));
+    this.registry = new Registry(frame.boot, frame.clock, rules.lapseMs, rules.warmMs, () => this.news.wake(), (rows) => this.windows.mark(rows, new Date()), (event) => this.agreement.note(event));
+    this.agreement = new ListAgreement(frame.settings.node, frame.clock, frame.log, frame.metrics, () => this.registry);
     this.merger = new OutcomeMerger(frame.clock, rulesNow);
     this.masks = new MaskDuty(this.registry, this.merger, { epochOf: (service) => this.epochOf(service) }, frame.clock, frame.log, rulesNow, links.probe, (changed) => {
       this.news.wake();
@@ -99,12 +104,19 @@
       }
     });
     every(500, () => this.masks.probeMasked(this.rules.probeEveryMs));
-    every(1000, async () => this.links.tellDirectories({
-      masks: this.masks.all().filter((mask) => this.epochOf(mask.service) === mask.epoch), from: this.frame.settings.node, calendar: this.windows.fingerprint,
-    }));
+    every(1000, async () => {
+      this.agreement.watch();
+      this.tellAll();
+    });
     void this.relayCommits();
   }
 
+  private tellAll(): void {
+    this.links.tellDirectories({
+      masks: this.masks.all().filter((mask) => this.epochOf(mask.service) === mask.epoch), from: this.frame.settings.node, calendar: this.windows.fingerprint, list: this.registry.hint(),
+    });
+  }
+
   /** Lends a node its share of the allowances, if this directory has that duty. */
   lend(ask: ShareAsk): ShareAnswer {
     const epoch = this.duties.epochOf(SHARES_KEY);
@@ -115,9 +127,19 @@
     return this.duties.epochOf(SHARES_KEY) === null ? [] : this.shares.views(this.frame.clock.now());
   }
 
-  report(message: NodeReport): object {
+  report(message: NodeReport): ReportAnswer {
     if (this.registry.hear(message)) this.hasNews = true;
-    return {};
+    if (message.mark !== undefined) this.agreement.hearNode(message.node, message.mark);
+    return this.registry.adviceFor(message);
+  }
+
+  /** Another directory's words on hosts. */
+  learnList(from: NodeName, news: ListNews): void {
+    if (this.registry.learn(from, news)) this.hasNews = true;
+  }
+
+  answerList(ask: ListAsk): ListNews {
+    return this.registry.answer(ask);
   }
 
   outcomes(message: OutcomeReport): object {
@@ -130,7 +152,11 @@
     if (message.from !== undefined) this.calendars = new Map([...this.calendars, [message.from, { fingerprint: message.calendar ?? '', heardAt: this.frame.clock.now() }]]);
     this.masks.learn(message.masks);
     this.news.wake();
-    return {};
+    const { from, list } = message;
+    if (from === undefined || list === undefined) return {};
+    const { reply, ask } = this.agreement.hearDirectory(from, list);
+    if (ask !== null) void this.links.askList(from, ask).then((news) => { if (news !== null) this.learnList(from, news); });
+    return reply === null ? {} : { list: reply };
   }
 
   async poll(message: NodePoll): Promise<NodeNews> {
@@ -183,7 +209,7 @@
   private newsFor(message: NodePoll): NodeNews {
     const manifest = this.follower.manifest();
     const endpoints = this.registry.current();
-    const hasEndpoints = endpoints === null || (message.directory === endpoints.directory && message.endpoints === endpoints.serial);
+    const hasEndpoints = endpoints === null || (message.directory === endpoints.directory && message.endpoints === endpoints.serial && !this.agreement.takeResend(message.node));
     const masks = this.masks.all().filter((mask) => {
       const had = message.masks.find((one) => one.service === mask.service);
       return had === undefined || mask.epoch > had.epoch || (mask.epoch === had.epoch && mask.serial > had.serial);
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -1,28 +1,31 @@
-import { NodePath, type NodeReport, type OutcomeReport } from '../connection/nodeCalls.js';
-import type { WireClient } from '../connection/wire.js';
+import { NodePath, reportAnswerShape, type NodeReport, type OutcomeReport, type ReportAnswer } from '../connection/nodeCalls.js';
+import type { WireClient, WireDefect } from '../connection/wire.js';
 import type { EndpointRow } from '../version/digests.js';
 import { Address, type Serial } from './brands.js';
+import { HostVoice } from './hostVoice.js';
 import type { LocalEndpoints } from './localEndpoints.js';
 import type { Membership } from './membership.js';
 import type { OutcomeBook } from './outcomeBook.js';
 import type { Frame } from './program.js';
 import type { PlaceSettings } from './settings.js';
+import type { Result } from 'neverthrow';
 
 const LIST_MS = 1000;
 const OUTCOMES_MS = 250;
+const TELL_MS = 1000;
 /** Of so many turns one tells successes too, and of so many of those one tells everything. */
 const CHANGED_EVERY = 8;
 const WHOLE_EVERY = 64;
 
 /** Passes on to every directory what this machine's endpoints say, and what came of the rounds sent from here. */
 export class Reporter {
-  private readonly life = Date.now();
-  private sequence = 0;
+  private readonly voice = new HostVoice(Date.now());
   private turn = 0;
   private isClosing = false;
   private isDue = false;
+  private hasEnded = false;
 
-  constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly endpoints: LocalEndpoints, private readonly book: OutcomeBook, private readonly serialNow: () => Serial) {}
+  constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly endpoints: LocalEndpoints, private readonly book: OutcomeBook, private readonly serialNow: () => Serial, private readonly markNow: () => string) {}
 
   start(): void {
     setInterval(() => void this.sendList(), LIST_MS).unref();
@@ -45,26 +48,45 @@
     await Promise.race([this.sendList(), new Promise((settle) => { setTimeout(settle, 300); })]);
   }
 
+  /** The last word: nothing runs here any more. */
+  async end(): Promise<void> {
+    this.hasEnded = true;
+    await Promise.race([this.sendList(), new Promise((settle) => { setTimeout(settle, 300); })]);
+  }
+
   private async sendList(): Promise<void> {
-    this.sequence += 1;
     const { settings, boot } = this.frame;
     const hop = Address.of(settings.host, settings.wirePort);
-    const rows: readonly EndpointRow[] = this.endpoints.listed().map(({ id, service, instance, address, zone, slots, leaving }) =>
+    const rows: readonly EndpointRow[] = this.hasEnded ? [] : this.endpoints.listed().map(({ id, service, instance, address, zone, slots, leaving }) =>
       ({ id, service, instance, address, zone, slots, leaving: leaving || this.isClosing, node: settings.node, nodeBoot: boot, hop }));
-    const report: NodeReport = { node: settings.node, boot, life: this.life, sequence: this.sequence, zone: settings.zone, hop, manifest: this.serialNow(), rows };
-    await this.tellAll(NodePath.report, report);
+    const departed = this.endpoints.departedLately();
+    const report: NodeReport = {
+      node: settings.node, boot, ...this.voice.say(rows), zone: settings.zone, hop, manifest: this.serialNow(), rows, mark: this.markNow(), ...(departed.length > 0 ? { departed } : {}),
+    };
+    await Promise.all(this.membership.having('directory').map(async ({ wire }) => {
+      const answer: Result<ReportAnswer, WireDefect> = await this.wire.call<ReportAnswer>(wire, NodePath.report, report, TELL_MS, reportAnswerShape);
+      answer.map((advice) => this.heed(advice));
+    }));
   }
 
   private async sendOutcomes(): Promise<void> {
     this.turn += 1;
     const rows = this.book.report(this.turn % WHOLE_EVERY === 0 ? 'all' : this.turn % CHANGED_EVERY === 0 ? 'changed' : 'failing');
     if (rows.length === 0) return;
-    this.sequence += 1;
-    const report: OutcomeReport = { node: this.frame.settings.node, boot: this.frame.boot, life: this.life, sequence: this.sequence, rows };
+    const report: OutcomeReport = { node: this.frame.settings.node, boot: this.frame.boot, life: this.voice.life, sequence: this.voice.next(), rows };
     await this.tellAll(NodePath.outcomes, report);
   }
 
+  /** A directory knows better than this host remembers. */
+  private heed(advice: ReportAnswer): void {
+    if (advice.departed !== undefined) {
+      this.frame.log.warn({ event: 'departed-refused', instances: advice.departed });
+      this.endpoints.endDeparted(advice.departed);
+    }
+    if (this.voice.hear(advice)) this.changed();
+  }
+
   private async tellAll(path: string, message: object): Promise<void> {
-    await Promise.all(this.membership.having('directory').map((member) => this.wire.call(member.wire, path, message, 1000)));
+    await Promise.all(this.membership.having('directory').map((member) => this.wire.call(member.wire, path, message, TELL_MS)));
   }
 }
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -4,7 +4,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { adminApp, wireServer } from '../../connection/admin.js';
 import { Listener } from '../../connection/listener.js';
-import { maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, shareAskShape, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport } from '../../connection/nodeCalls.js';
+import { listAskShape, listNewsShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, shareAskShape, type ListAsk, type ListNews, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport } from '../../connection/nodeCalls.js';
 import { HopPath, probeAnswerShape, type ProbeAnswer } from '../../connection/hopCalls.js';
 import { addOperatorCalls } from '../../connection/operators.js';
 import { StoreClient } from '../../connection/storeCalls.js';
@@ -76,9 +76,15 @@
     },
     tellDirectories: (message) => {
       for (const member of membership.having('directory')) {
-        if (member.boot !== frame.boot) void wire.call(member.wire, NodePath.mask, message, 1000);
+        if (member.boot !== frame.boot) void wire.call<{ readonly list?: ListNews }>(member.wire, NodePath.mask, message, 1000, maskAnswerShape).then((answer) => answer.map(({ list }) => {
+          if (list !== undefined) desk.learnList(member.name, list);
+        }));
       }
     },
+    askList: async (name, ask) => {
+      const asked = membership.having('directory').find((member) => member.name === name);
+      return asked === undefined ? null : (await wire.call<ListNews>(asked.wire, NodePath.list, ask, 1000, listNewsShape)).unwrapOr(null);
+    },
     masksOf: async (nodes) => {
       const members = membership.having('switchboard').filter((one) => nodes === null || nodes.includes(one.name));
       const asked = [...members].sort(() => Math.random() - 0.5).slice(0, NODES_ASKED);
@@ -99,6 +105,7 @@
   server.on<OutcomeReport>(NodePath.outcomes, outcomeReportShape, (message) => desk.outcomes(message));
   server.on<ShareAsk>(NodePath.shares, shareAskShape, (message) => desk.lend(message));
   server.on<MaskMessage>(NodePath.mask, maskMessageShape, (message) => desk.learnMasks(message));
+  server.on<ListAsk>(NodePath.list, listAskShape, (message) => desk.answerList(message));
   let stopping = false;
   const admin = adminApp(frame, membership, () => !stopping && follower.voters() !== null && desk.registry.current() !== null);
   const clerk = new ManifestClerk(follower, store, frame.clock, settings.changeMs);
@@ -113,6 +120,7 @@
       calendars: desk.calendarViews(),
       duties: desk.registry.services().map((service) => ({ service, epoch: duties.epochOf(maskDutyKey(service)) })),
     }),
+    lists: () => desk.agreement.view(),
     roster: () => ({ voters: follower.voters(), isCurrent: follower.isCurrent() }),
     allowances: () => ({ rules: follower.manifest()?.manifest.allowance ?? null, shares: desk.shareViews() }),
   });
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -96,7 +96,7 @@
   const hosting = new Hosting(frame, endpoints, delivery, links, doors.speech);
   const traces = new Traces(settings.tracesKept);
   const forwarder = new Forwarder(frame, { delivery, picker, book, allowance, hosting, wire, traces, speech: doors.speech, callingService: settings.callingService ?? null, random: Math.random });
-  const reporter = new Reporter(frame, membership, wire, endpoints, book, () => delivery.serial());
+  const reporter = new Reporter(frame, membership, wire, endpoints, book, () => delivery.serial(), () => delivery.listMark());
   const beatsTurnedAway = new Counter({ name: 'opalstair_beats_turned_away_total', help: 'Announcements that were malformed or from elsewhere', registers: [frame.metrics] });
   new Gauge({ name: 'opalstair_allowance_tokens', help: 'Repeats left at each branch of the tree', labelNames: ['branch'], registers: [frame.metrics], collect() { allowance.views().forEach(({ branch, tokens }) => this.set({ branch }, tokens)); } });
 
@@ -114,7 +114,7 @@
   server.on<DigestAsk>(NodePath.digest, digestAskShape, (message) => delivery.digest(message));
   const isReady = (): boolean => delivery.isReady && !closing;
   const admin = adminApp(frame, membership, isReady);
-  admin.get('/v1/state', (context) => context.json({ node: settings.node, boot: frame.boot, manifest: delivery.serial(), fingerprint: Manifest.fingerprint(delivery.now().manifest), endpoints: endpoints.listed(), allowance: allowance.views() }));
+  admin.get('/v1/state', (context) => context.json({ node: settings.node, boot: frame.boot, manifest: delivery.serial(), fingerprint: Manifest.fingerprint(delivery.now().manifest), endpoints: endpoints.listed(), list: delivery.listMark(), allowance: allowance.views() }));
   admin.get('/v1/services/:service', (context) => context.json(delivery.tables(context.req.param('service') as ServiceName)));
   admin.get('/v1/traces/:order', (context) => {
     const trace = traces.find(context.req.param('order') as OrderId);
@@ -164,6 +164,7 @@
       await orderDoor.close();
       hosting.stopTaking();
       await Promise.all([wireDoor.close(), beatDoor.close()]);
+      await reporter.end();
       delivery.stop();
       await membership.close();
       await Promise.all([adminDoor.close(), readyDoor?.close()]);
--- a/src/programs/opalctl.ts
+++ b/src/programs/opalctl.ts
@@ -16,7 +16,7 @@
                [--change ID]            the same id again asks what became of an undecided change
                [--serial N]             the serial that it gets, above the one in force; the next one when not given
   manifest validate FILE                check a manifest and change nothing
-  fleet | endpoints | roster | allowances | members | schema
+  fleet | endpoints | lists | roster | allowances | members | schema
   roster replace ID --with ID           put an empty disk in the place of a lost one
 
   --directory IP:PORT   admin address of a directory; more than one are tried in turn
@@ -61,7 +61,7 @@
     if (replacement === undefined) return err(new UsageDefect('roster replace needs --with ID'));
     return ok({ method: 'POST', path: '/v1/roster/replace', body: { lost: operand, replacement }, isChange: true });
   }
-  const views = ['fleet', 'endpoints', 'roster', 'allowances', 'members', 'schema'];
+  const views = ['fleet', 'endpoints', 'lists', 'roster', 'allowances', 'members', 'schema'];
   if (command !== undefined && views.includes(command) && verb === undefined) return get(`/v1/${command}`);
   return err(new UsageDefect(command === undefined ? 'no command given' : `no such command: ${words.join(' ')}`));
 };
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -59,7 +59,7 @@
   const back = JSON.parse((await opalctl('manifest', 'get')).out) as { readonly serial: number; readonly manifest: { readonly bindings: readonly { readonly id: string }[] } };
   assert.equal([back.serial, back.manifest.bindings[0]?.id], [1, 'lines']);
   await fleet.inForce(1);
-  for (const view of ['fleet', 'endpoints', 'roster', 'allowances', 'members', 'schema']) assert.is((await opalctl(view)).code, 0, view);
+  for (const view of ['fleet', 'endpoints', 'lists', 'roster', 'allowances', 'members', 'schema']) assert.is((await opalctl(view)).code, 0, view);
 });
 
 test('wrong usage ends with 2 and one clear line, at every program', async () => {
