Give unconfirmed endpoints nothing urgent and nothing that can't be repeated

A filter in the picker, passed over as any other when nothing else is there: the host decides whether an order runs, and turning it away would serve nobody. calltrace says `not confirmed`. Seen red in test/choice.test.ts without the filter.

--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -24,7 +24,7 @@
 const SHARPNESS = 5;
 
 /** Why an endpoint was not picked. */
-export type PassedOver = 'tried' | 'leaving' | 'in a maintenance window' | 'masked for all' | 'masked here' | 'path rests' | 'full' | 'slower or less free' | 'not drawn';
+export type PassedOver = 'tried' | 'leaving' | 'in a maintenance window' | 'not confirmed' | 'masked for all' | 'masked here' | 'path rests' | 'full' | 'slower or less free' | 'not drawn';
 
 export interface Choice {
   readonly row: EndpointRow;
@@ -47,6 +47,8 @@
   readonly tried: readonly EndpointRow[];
   /** Endpoints that just refused a request of the same binding for being full are passed over. */
   readonly binding: BindingId;
+  /** Of the highest priority: only endpoints whose host was heard lately are tried while there is one. */
+  readonly isUrgent?: boolean;
 }
 
 interface Known {
@@ -80,10 +82,11 @@
     };
     const open = split(split(tables.rows, 'leaving', (row) => row.leaving), 'tried', (row) => query.tried.some((tried) => sameEndpoint(tried, row)));
     const isMaskedForAll = (row: EndpointRow): boolean => MaskDigest.holds(tables.mask ?? undefined, row);
-    const trial = isTaken && query.isRepeatable ? open.find((row) => row.resting !== true && this.isTrialDue(row, isMaskedForAll(row))) : undefined;
+    const trial = isTaken && query.isRepeatable ? open.find((row) => row.resting !== true && row.unconfirmed !== true && this.isTrialDue(row, isMaskedForAll(row))) : undefined;
     if (trial !== undefined) return { chosen: { row: trial, isTrial: true }, passedOver: open.filter((row) => row !== trial).map((row) => ({ row, why: 'not drawn' })) };
     const filters: readonly (readonly [PassedOver, (row: EndpointRow) => boolean])[] = [
       ['in a maintenance window', (row) => row.resting === true],
+      ['not confirmed', (row) => row.unconfirmed === true && (query.isUrgent === true || !query.isRepeatable)],
            ['path rests', (row) => this.isResting(row, now)], ['masked for all', isMaskedForAll], ['masked here', (row) => this.book.maskOf(row) !== null],
     ];
     const fit = filters.reduce((rows, [why, isOut]) => (rows.every(isOut) ? rows : split(rows, why, isOut)), open);
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -131,7 +131,7 @@
     const blank = { order: 'hypothetical' as OrderId, at: new Date(), method: target.method, url: target.url, serial: inForce.serial, rounds: [], tookMs: 0 };
     return inForce.matcher.match(target).match<Trace>((binding) => {
       const service = Manifest.draw(binding, this.parts.random);
-      const pick = this.parts.picker.pick({ service, isRepeatable: Manifest.isRepeatable(binding, target.method), tried: [], binding: binding.id }, this.parts.delivery.tables(service), false);
+      const pick = this.parts.picker.pick({ service, isRepeatable: Manifest.isRepeatable(binding, target.method), tried: [], binding: binding.id, isUrgent: binding.priority === 0 }, this.parts.delivery.tables(service), false);
       return { ...blank, binding: binding.id, service, picks: [pick], ending: pick.chosen === null ? 'not-run: no-endpoint' : 'not sent: asked only' };
     }, (defect) => ({ ...blank, binding: null, service: null, picks: [], ending: `not-run: ${defect.kind}` }));
   }
@@ -166,7 +166,7 @@
 
   private pick(trip: Trip, tried: readonly EndpointRow[], round: RoundKind): OrderEvent {
     const { service, binding: { id } } = trip;
-    const query = { service, isRepeatable: Manifest.isRepeatable(trip.binding, trip.given.method), tried, binding: id };
+    const query = { service, isRepeatable: Manifest.isRepeatable(trip.binding, trip.given.method), tried, binding: id, isUrgent: trip.binding.priority === 0 };
     const pick = this.parts.picker.pick(query, this.parts.delivery.tables(service));
     trip.picks = [...trip.picks, pick];
     if (pick.chosen === null) return { kind: 'nonePicked' };
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -117,4 +117,17 @@
   assert.is(other.reply.kind, 'refused', 'a running lease of somebody else binds');
 });
 
+test('an endpoint whose host was not heard takes nothing urgent and nothing that can not be repeated while another is there', () => {
+  const far = { ...rowOf('unheard', 'a'), unconfirmed: true };
+  const { picker } = pickerOf([]);
+  const chosen = (rows: readonly EndpointRow[], isRepeatable: boolean, isUrgent: boolean): ReadonlySet<string> => new Set(Array.from({ length: 200 }, () =>
+    picker.pick({ service: 'line' as ServiceName, isRepeatable, tried: [], binding, isUrgent }, { rows, mask: null }).chosen?.row.id ?? ''));
+  const both = [far, rowOf('heard', 'a')];
+  for (const [isRepeatable, isUrgent] of [[false, false], [false, true], [true, true]] as const) assert.equal([...chosen(both, isRepeatable, isUrgent)], ['heard']);
+  assert.equal([...chosen(both, true, false)].sort(), ['heard', 'unheard']);
+  assert.equal([...chosen([far], false, true)], ['unheard'], 'its host decides; turning away would serve nobody');
+  const pick = picker.pick({ service: 'line' as ServiceName, isRepeatable: false, tried: [], binding }, { rows: both, mask: null });
+  assert.equal(pick.passedOver.map(({ row, why }) => [row.id, why]), [['unheard', 'not confirmed']]);
+});
+
 run();
