--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -3,6 +3,7 @@
 import { NodePath, nodeNewsShape, type DigestAsk, type NodeNews, type NodePoll } from '../connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
 import { MaskDigest, type EndpointDigest, type EndpointRow, type ManifestDigest } from '../version/digests.js';
+import { HeldList, ListMark } from '../version/endpointList.js';
 import { Manifest, type AllowanceRules, type Binding, type HealthRules } from '../version/manifest.js';
 import { Matcher } from '../version/matcher.js';
 import type { Address, Instant, Millis, Serial, ServiceName } from './brands.js';
@@ -49,6 +50,8 @@
 export class Delivery {
   private inForce: InForce = InForce.of({ serial: 0 as Serial, manifest: EMPTY });
   private endpoints: EndpointDigest | null = null;
+  private held = HeldList.empty;
+  private mark = '';
   private rowsOf: ReadonlyMap<ServiceName, readonly EndpointRow[]> = new Map();
   private masks: ReadonlyMap<ServiceName, MaskDigest> = new Map();
   private readonly news = new Pollers();
@@ -132,6 +135,11 @@
     return this.frame.clock.now() - this.currentAt < DIRECTORY_FIRST_MS;
   }
 
+  /** The mark of the list of endpoints that this node goes by; empty before the first. */
+  listMark(): string {
+    return this.mark;
+  }
+
   serial(): Serial {
     return this.inForce.serial;
   }
@@ -270,12 +278,15 @@
     if (later.length > 0) this.masks = new Map([...this.masks, ...later.map((mask) => [mask.service, mask] as const)]);
     if (lifted.length > 0) this.onUnmasked(lifted);
     const endpoints = news.endpoints;
-    if (endpoints !== null && !(this.endpoints?.directory === endpoints.directory && this.endpoints.serial >= endpoints.serial)) {
-      this.endpoints = endpoints;
+    if (endpoints !== null && !(this.endpoints?.directory === endpoints.directory && this.endpoints.serial > endpoints.serial)) {
+      this.held = HeldList.after(this.held, endpoints.rows, endpoints.without ?? [], this.frame.clock.now());
+      const { rows } = this.held;
+      this.endpoints = { ...endpoints, rows };
+      this.mark = ListMark.of(rows);
       const rowsOf = new Map<ServiceName, EndpointRow[]>();
-      for (const row of endpoints.rows) rowsOf.set(row.service, [...(rowsOf.get(row.service) ?? []), row]);
+      for (const row of rows) rowsOf.set(row.service, [...(rowsOf.get(row.service) ?? []), row]);
       this.rowsOf = rowsOf;
-      this.onEndpoints(endpoints.rows);
+      this.onEndpoints(rows);
     }
     if (!this.hasBeenReady && this.isReady) {
       this.hasBeenReady = true;
