--- a/test/life.test.ts
+++ b/test/life.test.ts
@@ -157,6 +157,25 @@
   }
 });
 
+test('a settings file that is laid anew without a signal is taken, and a wrong one keeps the old settings', async () => {
+  const file = join(fleet.folder, 'watched.json');
+  writeFileSync(file, JSON.stringify({ logLevel: 'info' }));
+  const machine = { ...fleet.machine('app1'), name: 'app11', host: `${fleet.block}.62`, advertised: `${fleet.block}.62` };
+  const daemon = fleet.daemon('switchboard', machine, PORTS.switchAdmin, ['--settings', file]);
+  await daemon.start();
+  try {
+    await fleet.ready(daemon);
+    for (const [content, event] of [['{"logLevel":"debug"}', 'reloaded'], ['{"logLevel":', 'reload-turned-away'], ['{"logLevel":"warn"}', 'reloaded']] as const) {
+      const heard = daemon.next(event);
+      writeFileSync(file, content);
+      await heard;
+      assert.ok(await fleet.isReady(daemon));
+    }
+  } finally {
+    await daemon.end('SIGKILL');
+  }
+});
+
 test('a changed seed list is taken by SIGHUP: a lost switchboard finds its mesh', async () => {
   const file = join(fleet.folder, 'seeds.json');
   const host = `${fleet.block}.61`;
