--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -1,10 +1,10 @@
 import Joi from 'joi';
 import type { Address, BootId, EndpointId, InstanceId, NodeName, Serial, ServiceName, ZoneName } from '../process/brands.js';
 import type { HostWord, ServiceMarks } from '../version/endpointList.js';
-import { endpointDigestShape, endpointRowShape, manifestDigestShape, maskDigestShape, type EndpointDigest, type EndpointRow, type ManifestDigest, type MaskDigest } from '../version/digests.js';
+import { endpointSnapshotShape, endpointRowShape, manifestSnapshotShape, maskSnapshotShape, type EndpointSnapshot, type EndpointRow, type ManifestSnapshot, type MaskSnapshot } from '../version/snapshots.js';
 
 /** The calls that a directory takes from switchboards and from other directories. */
-export const NodePath = { poll: '/node/poll', report: '/node/report', outcomes: '/node/outcomes', mask: '/directory/mask', digest: '/node/digest', shares: '/node/shares', list: '/directory/list' } as const;
+export const NodePath = { poll: '/node/poll', report: '/node/report', outcomes: '/node/outcomes', mask: '/directory/mask', snapshot: '/node/digest', shares: '/node/shares', list: '/directory/list' } as const;
 
 const text = Joi.string().max(256).required();
 const whole = Joi.number().integer().min(0).required();
@@ -28,20 +28,20 @@
  * that it has not yet heard all nodes out: such a list is for those that have none.
  */
 export interface NodeNews {
-  readonly manifest: ManifestDigest | null;
-  readonly endpoints: EndpointDigest | null;
-  readonly masks: readonly MaskDigest[];
+  readonly manifest: ManifestSnapshot | null;
+  readonly endpoints: EndpointSnapshot | null;
+  readonly masks: readonly MaskSnapshot[];
   readonly isCurrent: boolean;
   readonly isWarming?: boolean;
 }
 export const nodeNewsShape = Joi.object({
-  manifest: manifestDigestShape.allow(null).required(), endpoints: endpointDigestShape.allow(null).required(),
-  masks: Joi.array().items(maskDigestShape).required(), isCurrent: Joi.boolean().required(), isWarming: Joi.boolean(),
+  manifest: manifestSnapshotShape.allow(null).required(), endpoints: endpointSnapshotShape.allow(null).required(),
+  masks: Joi.array().items(maskSnapshotShape).required(), isCurrent: Joi.boolean().required(), isWarming: Joi.boolean(),
 });
 
 /** What a neighbour is asked for: a manifest later than the one that the asker has. */
-export interface DigestAsk { readonly manifest?: Serial }
-export const digestAskShape = Joi.object({ manifest: Joi.number().integer().min(0) });
+export interface SnapshotAsk { readonly manifest?: Serial }
+export const snapshotAskShape = Joi.object({ manifest: Joi.number().integer().min(0) });
 
 /** A switchboard's whole list of the endpoints on its machine. */
 export interface NodeReport {
@@ -103,14 +103,14 @@
 
 /** What directories tell one another: masks, and by a mark whether they read the same calendars. */
 export interface MaskMessage {
-  readonly masks: readonly MaskDigest[];
+  readonly masks: readonly MaskSnapshot[];
   readonly from?: NodeName;
   readonly calendar?: string;
   readonly list?: ListHint;
 }
 const departuresShape = Joi.array().items(Joi.object({ instance: text, agoMs: Joi.number().min(0).required() }));
 export const maskMessageShape = Joi.object({
-  masks: Joi.array().items(maskDigestShape).required(), from: Joi.string().max(64), calendar: Joi.string().allow('').max(64),
+  masks: Joi.array().items(maskSnapshotShape).required(), from: Joi.string().max(64), calendar: Joi.string().allow('').max(64),
   list: Joi.object({ mark: text, silent: Joi.array().items(text).max(10_000).required(), departed: departuresShape }),
 });
 
--- a/src/fleet/hollowNode.ts
+++ b/src/fleet/hollowNode.ts
@@ -4,7 +4,7 @@
 import { WireClient, type WireDefect } from '../connection/wire.js';
 import type { Address, BootId, EndpointId, InstanceId, NodeName, Serial, ServiceName, ZoneName } from '../process/brands.js';
 import type { ShareAsk } from '../process/shareBook.js';
-import { MaskDigest, type EndpointDigest, type EndpointRow } from '../version/digests.js';
+import { MaskSnapshot, type EndpointSnapshot, type EndpointRow } from '../version/snapshots.js';
 import type { Chance } from './chance.js';
 
 /** The pace of a switchboard: its list, its shares, the successes among its outcomes, a held poll and its silence. */
@@ -55,8 +55,8 @@
   private life = Date.now();
   private sequence = 0;
   private manifest = 0 as Serial;
-  private endpoints: EndpointDigest | null = null;
-  private masks: ReadonlyMap<ServiceName, MaskDigest> = new Map();
+  private endpoints: EndpointSnapshot | null = null;
+  private masks: ReadonlyMap<ServiceName, MaskSnapshot> = new Map();
   private directory: Address;
   private readonly heard = { manifests: 0, lists: 0, listRows: 0, masks: 0 };
   private timers: readonly NodeJS.Timeout[] = [];
@@ -172,7 +172,7 @@
       this.heard.manifests += 1;
       this.arrivals.push({ serial: this.manifest, at: performance.now() });
     }
-    const later = news.masks.filter((mask) => MaskDigest.isLater(mask, this.masks.get(mask.service)));
+    const later = news.masks.filter((mask) => MaskSnapshot.isLater(mask, this.masks.get(mask.service)));
     this.heard.masks += news.masks.length;
     if (later.length > 0) this.masks = new Map([...this.masks, ...later.map((mask) => [mask.service, mask] as const)]);
     if (news.endpoints === null) return;
--- a/src/fleet/hollowSizes.ts
+++ b/src/fleet/hollowSizes.ts
@@ -2,7 +2,7 @@
 import { checkShape, readBson, writeBson } from '../connection/wire.js';
 import { Address, type BootId, type EndpointId, type Instant, type InstanceId, type Millis, type NodeName, type Serial, type ServiceName, type ZoneName } from '../process/brands.js';
 import { Members, type Gossip, type Member } from '../process/members.js';
-import { endpointDigestShape, manifestDigestShape, type EndpointDigest, type EndpointRow } from '../version/digests.js';
+import { endpointSnapshotShape, manifestSnapshotShape, type EndpointSnapshot, type EndpointRow } from '../version/snapshots.js';
 import { Manifest } from '../version/manifest.js';
 import { hollowManifest } from './hollowFleet.js';
 
@@ -42,13 +42,13 @@
 };
 
 const listSize = (count: number): Size => {
-  const digest: EndpointDigest = { directory: 'directory1' as BootId, serial: 1 as Serial, rows: Array.from({ length: count }, (_, index) => rowOf(index)) };
-  return sizeOf('list of endpoints', count, digest, (bytes) => readBson<EndpointDigest>(bytes, endpointDigestShape)._unsafeUnwrap());
+  const snapshot: EndpointSnapshot = { directory: 'directory1' as BootId, serial: 1 as Serial, rows: Array.from({ length: count }, (_, index) => rowOf(index)) };
+  return sizeOf('list of endpoints', count, snapshot, (bytes) => readBson<EndpointSnapshot>(bytes, endpointSnapshotShape)._unsafeUnwrap());
 };
 
 const manifestSize = (count: number): Size => {
   const manifest = Manifest.check(hollowManifest({ services: Math.min(count, 3000), routes: count }, 1))._unsafeUnwrap();
-  return sizeOf('manifest, routes', count, { serial: 1, manifest: { ...manifest, source: null } }, (bytes) => checkShape(readBson<object>(bytes, manifestDigestShape)._unsafeUnwrap(), manifestDigestShape)._unsafeUnwrap());
+  return sizeOf('manifest, routes', count, { serial: 1, manifest: { ...manifest, source: null } }, (bytes) => checkShape(readBson<object>(bytes, manifestSnapshotShape)._unsafeUnwrap(), manifestSnapshotShape)._unsafeUnwrap());
 };
 
 const memberOf = (index: number): Member => ({
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -1,8 +1,8 @@
 import { Gauge, Histogram } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
-import { NodePath, nodeNewsShape, type DigestAsk, type NodeNews, type NodePoll } from '../connection/nodeCalls.js';
+import { NodePath, nodeNewsShape, type SnapshotAsk, type NodeNews, type NodePoll } from '../connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
-import { MaskDigest, type EndpointDigest, type EndpointRow, type ManifestDigest } from '../version/digests.js';
+import { MaskSnapshot, type EndpointSnapshot, type EndpointRow, type ManifestSnapshot } from '../version/snapshots.js';
 import { HeldList, ListMark } from '../version/endpointList.js';
 import { Manifest, type AllowanceRules, type Binding, type HealthRules } from '../version/manifest.js';
 import { Matcher } from '../version/matcher.js';
@@ -41,19 +41,19 @@
 const EMPTY = Manifest.check({ services: [], bindings: [] })._unsafeUnwrap();
 
 export const InForce = {
-  of: ({ serial, manifest }: ManifestDigest): InForce => ({
+  of: ({ serial, manifest }: ManifestSnapshot): InForce => ({
     serial, manifest, matcher: new Matcher(manifest), bindings: new Map(manifest.bindings.map((binding) => [binding.id, binding])), probes: new Map(manifest.services.map(({ name, probe }) => [name, probe])),
   }),
 } as const;
 
-/** Keeps this node's digests: asks a directory with the serials it has, and never goes back to a lower one. */
+/** Keeps this node's snapshots: asks a directory with the serials it has, and never goes back to a lower one. */
 export class Delivery {
   private inForce: InForce = InForce.of({ serial: 0 as Serial, manifest: EMPTY });
-  private endpoints: EndpointDigest | null = null;
+  private endpoints: EndpointSnapshot | null = null;
   private held = HeldList.empty;
   private mark = '';
   private rowsOf: ReadonlyMap<ServiceName, readonly EndpointRow[]> = new Map();
-  private masks: ReadonlyMap<ServiceName, MaskDigest> = new Map();
+  private masks: ReadonlyMap<ServiceName, MaskSnapshot> = new Map();
   private readonly news = new Pollers();
   private chosenDirectory: Address | null = null;
   private refreshed: Promise<void> = Promise.resolve();
@@ -72,7 +72,7 @@
     this.startedAt = this.currentAt;
     const serial = (): number => this.inForce.serial;
     new Gauge({ name: 'opalstair_manifest_serial', help: 'Serial of the manifest in force here', registers, collect() { this.set(serial()); } });
-    const masked = (): ReadonlyMap<ServiceName, MaskDigest> => this.masks;
+    const masked = (): ReadonlyMap<ServiceName, MaskSnapshot> => this.masks;
     new Gauge({ name: 'opalstair_masked_endpoints', help: 'Endpoints masked for all callers', labelNames: ['service'], registers, collect() { masked().forEach((mask, service) => this.set({ service }, mask.entries.length)); } });
     this.pollTime = new Histogram({ name: 'opalstair_poll_seconds', help: 'Time that a directory took to answer, held questions included', registers, buckets: [0.01, 0.1, 0.5, 1, 2] });
     frame.stalls.onStall(() => { this.refreshed = this.askOnce(); });
@@ -84,12 +84,12 @@
     void this.meetDirectories().then(() => this.follow());
   }
 
-  /** A digest is in force: orders can be matched and endpoints picked. */
+  /** A snapshot is in force: orders can be matched and endpoints picked. */
   get isReady(): boolean {
-    return this.hasDigests && !this.isUnsure;
+    return this.hasSnapshots && !this.isUnsure;
   }
 
-  private get hasDigests(): boolean {
+  private get hasSnapshots(): boolean {
     return this.inForce.serial > 0 && this.endpoints !== null;
   }
 
@@ -126,7 +126,7 @@
   }
 
   /** What a neighbour that hears no directory, or a directory that lost its memory, may copy. */
-  digest(ask: DigestAsk): NodeNews {
+  snapshot(ask: SnapshotAsk): NodeNews {
     return { manifest: this.inForce.serial > (ask.manifest ?? 0) ? { serial: this.inForce.serial, manifest: this.inForce.manifest } : null, endpoints: this.endpoints, masks: [...this.masks.values()], isCurrent: this.hearsDirectory() };
   }
 
@@ -244,12 +244,12 @@
     if (this.isAskingNeighbours || this.isStopping || this.hearsDirectory()) return;
     this.isAskingNeighbours = true;
     const others = this.membership.having('switchboard').filter((member) => member.boot !== this.frame.boot);
-    const asked = this.hasDigests ? [...others].sort(() => Math.random() - 0.5).slice(0, NEIGHBOURS_ASKED) : others;
-    const ask: DigestAsk = { manifest: this.inForce.serial };
+    const asked = this.hasSnapshots ? [...others].sort(() => Math.random() - 0.5).slice(0, NEIGHBOURS_ASKED) : others;
+    const ask: SnapshotAsk = { manifest: this.inForce.serial };
     const learn = (news: NodeNews): void => this.learn({ ...news, endpoints: news.isCurrent || this.endpoints === null ? news.endpoints : null });
-    const isStarting = !this.hasDigests;
+    const isStarting = !this.hasSnapshots;
     const answers = await Promise.all(asked.map(async ({ wire }): Promise<readonly NodeNews[]> => {
-      const answer: Result<NodeNews, WireDefect> = await this.wire.call<NodeNews>(wire, NodePath.digest, ask, NEIGHBOUR_ANSWER_MS, nodeNewsShape);
+      const answer: Result<NodeNews, WireDefect> = await this.wire.call<NodeNews>(wire, NodePath.snapshot, ask, NEIGHBOUR_ANSWER_MS, nodeNewsShape);
       if (answer.isOk() && !isStarting) learn(answer.value);
       return answer.match((news) => [news], () => []);
     }));
@@ -273,8 +273,8 @@
       this.inForce = InForce.of(news.manifest);
       this.frame.log.info({ event: 'manifest-in-force', serial: this.inForce.serial });
     }
-    const later = news.masks.filter((mask) => MaskDigest.isLater(mask, this.masks.get(mask.service)));
-    const lifted = later.flatMap((mask) => this.tables(mask.service).rows.filter((row) => MaskDigest.holds(this.masks.get(mask.service), row) && !MaskDigest.holds(mask, row)));
+    const later = news.masks.filter((mask) => MaskSnapshot.isLater(mask, this.masks.get(mask.service)));
+    const lifted = later.flatMap((mask) => this.tables(mask.service).rows.filter((row) => MaskSnapshot.holds(this.masks.get(mask.service), row) && !MaskSnapshot.holds(mask, row)));
     if (later.length > 0) this.masks = new Map([...this.masks, ...later.map((mask) => [mask.service, mask] as const)]);
     if (lifted.length > 0) this.onUnmasked(lifted);
     const endpoints = news.endpoints;
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -1,7 +1,7 @@
 import { Gauge, Histogram } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
 import type { ListAsk, ListNews, MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport, ReportAnswer } from '../connection/nodeCalls.js';
-import { MaskDigest, type EndpointRow } from '../version/digests.js';
+import { MaskSnapshot, type EndpointRow } from '../version/snapshots.js';
 import { Windows } from '../version/windows.js';
 import { Manifest, type HealthRules } from '../version/manifest.js';
 import type { Epoch, KeyName, Millis, NodeName, ServiceName } from './brands.js';
@@ -30,7 +30,7 @@
   /** What another directory has that this one lacks; null when it does not answer. */
   readonly askList: (directory: NodeName, ask: ListAsk) => Promise<ListNews | null>;
   /** The masks that the named nodes have, or some of all nodes. */
-  readonly masksOf: (nodes: readonly string[] | null) => Promise<readonly MaskDigest[]>;
+  readonly masksOf: (nodes: readonly string[] | null) => Promise<readonly MaskSnapshot[]>;
 }
 
 const CALENDAR_FRESH_MS = 5000;
--- a/src/process/disk.ts
+++ b/src/process/disk.ts
@@ -56,7 +56,7 @@
 }
 
 const CHECK_BYTES = 32;
-const digestOf = (bytes: Uint8Array): Buffer => createHash('sha256').update(bytes).digest();
+const checksumOf = (bytes: Uint8Array): Buffer => createHash('sha256').update(bytes).digest();
 
 /** The file system of this machine. */
 export const machineFiles: Files = {
@@ -104,7 +104,7 @@
     try {
       if (this.usedBytes + size > this.quotaBytes) return err(new DiskFull(`${this.usedBytes} of ${this.quotaBytes} bytes are used`));
       if (!this.lastingFolders.has(home)) await this.makeLast(home);
-      await this.files.write(aside, Buffer.concat([digestOf(bytes), bytes]));
+      await this.files.write(aside, Buffer.concat([checksumOf(bytes), bytes]));
       renamed = true;
       await this.files.rename(aside, join(home, name));
       await this.files.syncFolder(home);
@@ -148,7 +148,7 @@
     try {
       const file = Buffer.from(await this.files.read(join(this.root, folder, name)));
       const bytes = file.subarray(CHECK_BYTES);
-      return digestOf(bytes).equals(file.subarray(0, CHECK_BYTES)) ? ok(bytes) : err(new DamagedFile(`${folder}/${name} does not match its checksum`));
+      return checksumOf(bytes).equals(file.subarray(0, CHECK_BYTES)) ? ok(bytes) : err(new DamagedFile(`${folder}/${name} does not match its checksum`));
     } catch (error) {
       return err(new DiskDefect(`reading ${folder}/${name}`, error));
     }
--- a/src/process/hostVoice.ts
+++ b/src/process/hostVoice.ts
@@ -1,5 +1,5 @@
 import type { ReportAnswer } from '../connection/nodeCalls.js';
-import type { EndpointRow } from '../version/digests.js';
+import type { EndpointRow } from '../version/snapshots.js';
 
 /** How a host's report stands among all of its reports. */
 export interface Standing {
--- a/src/process/maskDuty.ts
+++ b/src/process/maskDuty.ts
@@ -1,5 +1,5 @@
 import type { Logger } from 'pino';
-import { MaskDigest, type EndpointRow, type MaskEntry } from '../version/digests.js';
+import { MaskSnapshot, type EndpointRow, type MaskEntry } from '../version/snapshots.js';
 import type { HealthRules } from '../version/manifest.js';
 import type { Epoch, Instant, Serial, ServiceName } from './brands.js';
 import type { Clock } from './clock.js';
@@ -17,22 +17,22 @@
 
 /** Keeps the newest mask of every service, and makes new ones for those whose duty this directory holds. */
 export class MaskDuty {
-  private masks: ReadonlyMap<ServiceName, MaskDigest> = new Map();
+  private masks: ReadonlyMap<ServiceName, MaskSnapshot> = new Map();
   private probedAt: ReadonlyMap<string, Instant> = new Map();
 
   constructor(
     private readonly registry: Registry, private readonly merger: OutcomeMerger, private readonly duties: DutyView,
     private readonly clock: Clock, private readonly log: Logger, private readonly rulesNow: () => HealthRules,
-    private readonly probe: (row: EndpointRow) => Promise<boolean>, private readonly onChange: (changed: readonly MaskDigest[]) => void,
+    private readonly probe: (row: EndpointRow) => Promise<boolean>, private readonly onChange: (changed: readonly MaskSnapshot[]) => void,
   ) {}
 
-  all(): readonly MaskDigest[] {
+  all(): readonly MaskSnapshot[] {
     return [...this.masks.values()];
   }
 
   /** Masks that another directory made. */
-  learn(masks: readonly MaskDigest[]): void {
-    const newer = masks.filter((mask) => MaskDigest.isLater(mask, this.masks.get(mask.service)));
+  learn(masks: readonly MaskSnapshot[]): void {
+    const newer = masks.filter((mask) => MaskSnapshot.isLater(mask, this.masks.get(mask.service)));
     if (newer.length > 0) this.adopt(newer);
   }
 
@@ -81,13 +81,13 @@
     if (epoch === null || (former !== undefined && former.epoch > epoch)) return;
     const names = (list: readonly MaskEntry[]): string => list.map((entry) => `${entry.endpoint}/${entry.instance}`).join();
     if (former !== undefined && former.epoch === epoch && names(former.entries) === names(entries)) return;
-    const mask: MaskDigest = { service, epoch, serial: (former?.epoch === epoch ? former.serial + 1 : 1) as Serial, entries };
+    const mask: MaskSnapshot = { service, epoch, serial: (former?.epoch === epoch ? former.serial + 1 : 1) as Serial, entries };
     this.log.info({ event: 'mask', service, epoch, serial: mask.serial, entries });
     this.adopt([mask]);
     this.onChange([mask]);
   }
 
-  private adopt(masks: readonly MaskDigest[]): void {
+  private adopt(masks: readonly MaskSnapshot[]): void {
     this.masks = new Map([...this.masks, ...masks.map((mask) => [mask.service, mask] as const)]);
   }
 }
--- a/src/process/outcomeBook.ts
+++ b/src/process/outcomeBook.ts
@@ -1,6 +1,6 @@
 import { Map as Table } from 'immutable';
 import type { OutcomeRow } from '../connection/nodeCalls.js';
-import type { EndpointRow } from '../version/digests.js';
+import type { EndpointRow } from '../version/snapshots.js';
 import type { HealthRules } from '../version/manifest.js';
 import type { Instant } from './brands.js';
 import type { Clock } from './clock.js';
--- a/src/process/outcomeMerger.ts
+++ b/src/process/outcomeMerger.ts
@@ -1,6 +1,6 @@
 import { Maybe } from 'true-myth';
 import type { OutcomeReport, OutcomeRow } from '../connection/nodeCalls.js';
-import type { EndpointRow } from '../version/digests.js';
+import type { EndpointRow } from '../version/snapshots.js';
 import type { HealthRules } from '../version/manifest.js';
 import type { BootId, Instant, NodeName } from './brands.js';
 import type { Clock } from './clock.js';
--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -1,6 +1,6 @@
 import { Map as Table } from 'immutable';
 import type { Load } from '../connection/hopCalls.js';
-import { MaskDigest, type EndpointRow } from '../version/digests.js';
+import { MaskSnapshot, type EndpointRow } from '../version/snapshots.js';
 import type { BindingId, BootId, Instant, NodeName, ServiceName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
 import type { OutcomeBook } from './outcomeBook.js';
@@ -40,7 +40,7 @@
 /** The tables that a pick looks at: snapshots that are swapped whole. */
 export interface PickTables {
   readonly rows: readonly EndpointRow[];
-  readonly mask: MaskDigest | null;
+  readonly mask: MaskSnapshot | null;
 }
 
 export interface PickQuery {
@@ -93,7 +93,7 @@
       return rows.filter((row) => !isOut(row));
     };
     const open = split(split(tables.rows, 'leaving', (row) => row.leaving), 'tried', (row) => query.tried.some((tried) => sameEndpoint(tried, row)));
-    const isMaskedForAll = (row: EndpointRow): boolean => MaskDigest.holds(tables.mask ?? undefined, row);
+    const isMaskedForAll = (row: EndpointRow): boolean => MaskSnapshot.holds(tables.mask ?? undefined, row);
     const trial = isTaken && query.isRepeatable ? open.find((row) => row.resting !== true && row.unconfirmed !== true && this.isTrialDue(row, isMaskedForAll(row))) : undefined;
     if (trial !== undefined) return { chosen: { row: trial, isTrial: true }, passedOver: open.filter((row) => row !== trial).map((row) => ({ row, why: 'not drawn' })) };
     const filters: readonly (readonly [PassedOver, (row: EndpointRow) => boolean])[] = [
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -1,5 +1,5 @@
 import type { ListAsk, ListHint, ListNews, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
-import type { EndpointDigest, EndpointRow } from '../version/digests.js';
+import type { EndpointSnapshot, EndpointRow } from '../version/snapshots.js';
 import { EndpointList, ListMark, type HostWord, type ListedWord, type ServiceMarks } from '../version/endpointList.js';
 import type { BootId, EndpointId, InstanceId, Instant, Millis, NodeName, Serial, ServiceName } from './brands.js';
 import type { Clock } from './clock.js';
@@ -43,7 +43,7 @@
   private readonly hadRows = new Set<NodeName>();
   private unconfirmed: ReadonlySet<NodeName> = new Set();
   private serial = 0;
-  private digest: EndpointDigest;
+  private snapshot: EndpointSnapshot;
   private serviceMarks: ServiceMarks = {};
   private wholeMark = ListMark.of([]);
   private readonly startedAt: Instant;
@@ -52,7 +52,7 @@
 
   constructor(private readonly boot: BootId, private readonly clock: Clock, private readonly lapseMs: Millis, private readonly warmMs: Millis, private readonly onChange: () => void, private readonly mark: (rows: readonly EndpointRow[]) => readonly EndpointRow[] = (rows) => rows, private readonly tell: (event: ListEvent) => void = () => undefined) {
     this.startedAt = clock.now();
-    this.digest = { directory: boot, serial: 0 as Serial, rows: [] };
+    this.snapshot = { directory: boot, serial: 0 as Serial, rows: [] };
   }
 
   /** Takes a report unless a later one of that node was heard; whether it changed the list. */
@@ -92,8 +92,8 @@
   }
 
   /** The present list; null while a freshly started directory has not yet heard the nodes out. */
-  current(): EndpointDigest | null {
-    return this.clock.now() - this.startedAt < this.warmMs ? null : this.digest;
+  current(): EndpointSnapshot | null {
+    return this.clock.now() - this.startedAt < this.warmMs ? null : this.snapshot;
   }
 
   /** The same at every process that holds the same list. */
@@ -102,16 +102,16 @@
   }
 
   /** What was heard so far, for nodes that have no other list; null while that is nothing. */
-  early(): EndpointDigest | null {
-    return this.digest.rows.length === 0 ? null : this.digest;
+  early(): EndpointSnapshot | null {
+    return this.snapshot.rows.length === 0 ? null : this.snapshot;
   }
 
   rowsOf(service: ServiceName): readonly EndpointRow[] {
-    return this.digest.rows.filter((row) => row.service === service);
+    return this.snapshot.rows.filter((row) => row.service === service);
   }
 
   services(): readonly ServiceName[] {
-    return [...new Set(this.digest.rows.map((row) => row.service))];
+    return [...new Set(this.snapshot.rows.map((row) => row.service))];
   }
 
   nodeViews(): readonly NodeView[] {
@@ -227,12 +227,12 @@
       ...row, ...(word.changed === null ? {} : { life: word.life, changed: word.changed }), ...(this.unconfirmed.has(word.node) ? { unconfirmed: true } : {}),
     })));
     const rows = [...this.mark(told)].sort((one, other) => (`${one.service}/${one.id}/${one.node}` < `${other.service}/${other.id}/${other.node}` ? -1 : 1));
-    if (JSON.stringify(rows) === JSON.stringify(this.digest.rows)) return;
+    if (JSON.stringify(rows) === JSON.stringify(this.snapshot.rows)) return;
     this.serial += 1;
     rows.forEach((row) => this.hadRows.add(row.node));
     const without = this.list.words().flatMap((word): readonly ListedWord[] =>
       (word.changed !== null && !word.isDropped && this.hadRows.has(word.node) && this.list.rowsOf(word).length === 0 ? [{ node: word.node, boot: word.boot, life: word.life, changed: word.changed }] : []));
-    this.digest = { directory: this.boot, serial: this.serial as Serial, rows, without };
+    this.snapshot = { directory: this.boot, serial: this.serial as Serial, rows, without };
     this.serviceMarks = ListMark.byService(listed);
     this.wholeMark = ListMark.whole(this.serviceMarks);
     this.onChange();
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -1,6 +1,6 @@
 import { NodePath, reportAnswerShape, type NodeReport, type OutcomeReport, type ReportAnswer } from '../connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
-import type { EndpointRow } from '../version/digests.js';
+import type { EndpointRow } from '../version/snapshots.js';
 import { Address, type Serial } from './brands.js';
 import { HostVoice } from './hostVoice.js';
 import type { LocalEndpoints } from './localEndpoints.js';
--- a/src/process/storeFollower.ts
+++ b/src/process/storeFollower.ts
@@ -1,6 +1,6 @@
 import { Pollers } from '../connection/pollers.js';
 import type { StoreClient } from '../connection/storeCalls.js';
-import type { ManifestDigest } from '../version/digests.js';
+import type { ManifestSnapshot } from '../version/snapshots.js';
 import { MANIFEST_KEY, ROSTER_KEY, type Entry, type Roster, type RosterMember, type Voters } from '../version/entry.js';
 import type { Manifest } from '../version/manifest.js';
 import type { Address, Instant, KeyName, Millis, Serial } from './brands.js';
@@ -30,7 +30,7 @@
     this.followAll();
   }
 
-  manifest(): ManifestDigest | null {
+  manifest(): ManifestSnapshot | null {
     const entry = this.entries.get(MANIFEST_KEY);
     return entry === undefined ? null : { serial: entry.serial, manifest: entry.value as Manifest };
   }
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -89,7 +89,7 @@
       const members = membership.having('switchboard').filter((one) => nodes === null || nodes.includes(one.name));
       const asked = [...members].sort(() => Math.random() - 0.5).slice(0, NODES_ASKED);
       const answers = await Promise.all(asked.map(async ({ wire: address }) =>
-        (await wire.call<MaskMessage>(address, NodePath.digest, {}, 500, Joi.object({ masks: maskMessageShape.extract('masks') }))).match((found) => found.masks, () => [])));
+        (await wire.call<MaskMessage>(address, NodePath.snapshot, {}, 500, Joi.object({ masks: maskMessageShape.extract('masks') }))).match((found) => found.masks, () => [])));
       return answers.flat();
     },
   });
--- a/src/programs/daemons/rehearsal.ts
+++ b/src/programs/daemons/rehearsal.ts
@@ -16,7 +16,7 @@
 import type { Frame } from '../../process/program.js';
 import type { PlaceSettings } from '../../process/settings.js';
 import { Traces } from '../../process/traces.js';
-import type { EndpointRow } from '../../version/digests.js';
+import type { EndpointRow } from '../../version/snapshots.js';
 import { Manifest } from '../../version/manifest.js';
 import { Forwarder } from '../../request/forwarder.js';
 import { Hosting, type HostManifest } from '../../request/hosting.js';
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -8,7 +8,7 @@
 import { EndpointLinks } from '../../connection/endpointLinks.js';
 import { HopPath, hopOrderShape, probeAnswerShape, probeAskShape, verdictAskShape, type HopOrder, type ProbeAnswer, type ProbeAsk, type VerdictAsk } from '../../connection/hopCalls.js';
 import { Listener } from '../../connection/listener.js';
-import { digestAskShape, NodePath, type DigestAsk } from '../../connection/nodeCalls.js';
+import { snapshotAskShape, NodePath, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { problem } from '../../connection/operators.js';
 import { orderDoor as takeOrders } from '../../connection/orderDoor.js';
 import { ownSpeech, type Speech } from '../../connection/speech.js';
@@ -124,7 +124,7 @@
   server.on<HopOrder>(HopPath.order, hopOrderShape, (message) => hosting.run(message));
   server.on<VerdictAsk>(HopPath.verdict, verdictAskShape, (message) => hosting.verdictOf(message));
   server.on<ProbeAsk>(HopPath.probe, probeAskShape, (message) => hosting.probe(message));
-  server.on<DigestAsk>(NodePath.digest, digestAskShape, (message) => delivery.digest(message));
+  server.on<SnapshotAsk>(NodePath.snapshot, snapshotAskShape, (message) => delivery.snapshot(message));
   const isReady = (): boolean => delivery.isReady && !closing;
   const admin = adminApp(frame, membership, isReady);
   admin.get('/v1/state', (context) => context.json({ node: settings.node, boot: frame.boot, manifest: delivery.serial(), fingerprint: Manifest.fingerprint(delivery.now().manifest), endpoints: endpoints.listed(), list: delivery.listMark(), allowance: allowance.views() }));
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -11,7 +11,7 @@
 import type { PlaceSettings } from '../process/settings.js';
 import { Tally } from '../process/tally.js';
 import type { Trace, Traces } from '../process/traces.js';
-import type { EndpointRow } from '../version/digests.js';
+import type { EndpointRow } from '../version/snapshots.js';
 import { Manifest, type Binding } from '../version/manifest.js';
 import type { Hosting } from './hosting.js';
 import type { Target } from '../version/matcher.js';
--- a/src/request/orderOwner.ts
+++ b/src/request/orderOwner.ts
@@ -1,7 +1,7 @@
 import type { OwnOutcome } from '../connection/speech.js';
 import type { HopVerdict, TurnAwayCause, VerdictAnswer, WholeAnswer } from '../connection/hopCalls.js';
 import type { Serial } from '../process/brands.js';
-import type { EndpointRow } from '../version/digests.js';
+import type { EndpointRow } from '../version/snapshots.js';
 
 /** What happened to an order, as its owner is told. */
 export type OrderEvent =
--- a/src/version/endpointList.ts
+++ b/src/version/endpointList.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { Map as Table, Set as Names } from 'immutable';
 import type { BootId, InstanceId, Instant, NodeName, Serial, ServiceName } from '../process/brands.js';
-import type { EndpointRow } from './digests.js';
+import type { EndpointRow } from './snapshots.js';
 
 /** What a host says of all endpoints of its machine. The host alone makes such words, and each replaces its earlier ones. */
 export interface HostWord {
--- a/src/version/digests.ts
+++ b/src/version/snapshots.ts
@@ -25,13 +25,13 @@
   readonly hop: Address;
 }
 
-export interface ManifestDigest {
+export interface ManifestSnapshot {
   readonly serial: Serial;
   readonly manifest: Manifest;
 }
 
 /** All listed endpoints as one directory sees them; serials count within one boot of that directory. */
-export interface EndpointDigest {
+export interface EndpointSnapshot {
   readonly directory: BootId;
   readonly serial: Serial;
   readonly rows: readonly EndpointRow[];
@@ -47,7 +47,7 @@
 }
 
 /** The endpoints of one service that no caller shall pick, ordered by the epoch of the duty and a serial. */
-export interface MaskDigest {
+export interface MaskSnapshot {
   readonly service: ServiceName;
   readonly epoch: Epoch;
   readonly serial: Serial;
@@ -60,18 +60,18 @@
   id: text, service: text, instance: text, address: text, zone: text, slots: whole, leaving: Joi.boolean().required(), node: text, nodeBoot: text, hop: text, resting: Joi.boolean(),
   unconfirmed: Joi.boolean(), life: Joi.number().min(0), changed: Joi.number().integer().min(0),
 });
-export const maskDigestShape = Joi.object({
+export const maskSnapshotShape = Joi.object({
   service: text, epoch: whole, serial: whole,
   entries: Joi.array().items(Joi.object({ endpoint: text, instance: text, reason: Joi.string().required(), since: Joi.date().required() })).required(),
 });
 const listedWordShape = Joi.object({ node: text, boot: text, life: Joi.number().min(0).required(), changed: whole });
-export const endpointDigestShape = Joi.object({ directory: text, serial: whole, rows: Joi.array().items(endpointRowShape).required(), without: Joi.array().items(listedWordShape) });
-export const manifestDigestShape = Joi.object({ serial: whole, manifest: Joi.object({ services: Joi.array().required(), bindings: Joi.array().required(), health: Joi.object().required(), allowance: Joi.object().required(), limits: Joi.object().required(), source: Joi.string().allow(null) }).required() });
+export const endpointSnapshotShape = Joi.object({ directory: text, serial: whole, rows: Joi.array().items(endpointRowShape).required(), without: Joi.array().items(listedWordShape) });
+export const manifestSnapshotShape = Joi.object({ serial: whole, manifest: Joi.object({ services: Joi.array().required(), bindings: Joi.array().required(), health: Joi.object().required(), allowance: Joi.object().required(), limits: Joi.object().required(), source: Joi.string().allow(null) }).required() });
 
-export const MaskDigest = {
+export const MaskSnapshot = {
   /** Whether a mask names this instance of an endpoint. */
-  holds: (mask: MaskDigest | undefined, row: EndpointRow): boolean => mask?.entries.some((entry) => entry.endpoint === row.id && entry.instance === row.instance) ?? false,
+  holds: (mask: MaskSnapshot | undefined, row: EndpointRow): boolean => mask?.entries.some((entry) => entry.endpoint === row.id && entry.instance === row.instance) ?? false,
   /** Whether one mask is later than another of the same service. */
-  isLater: (one: MaskDigest, other: MaskDigest | undefined): boolean =>
+  isLater: (one: MaskSnapshot, other: MaskSnapshot | undefined): boolean =>
     other === undefined || one.epoch > other.epoch || (one.epoch === other.epoch && one.serial > other.serial),
 } as const;
--- a/src/version/windows.ts
+++ b/src/version/windows.ts
@@ -3,7 +3,7 @@
 import ICAL from 'ical.js';
 import { err, ok, type Result } from 'neverthrow';
 import { Defect } from '../process/defect.js';
-import type { EndpointRow } from './digests.js';
+import type { EndpointRow } from './snapshots.js';
 
 /** A calendar that can't be used; the former windows stay in force. */
 export class BadCalendar extends Defect {
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -7,7 +7,7 @@
 import type { OutcomeBook } from '../src/process/outcomeBook.js';
 import { Picker } from '../src/process/picker.js';
 import { Register, type RegisterAsk, type RegisterState } from '../src/process/register.js';
-import type { EndpointRow } from '../src/version/digests.js';
+import type { EndpointRow } from '../src/version/snapshots.js';
 import { suite } from './harness.js';
 
 const { test, run } = suite('choice');
--- a/test/rejoin.test.ts
+++ b/test/rejoin.test.ts
@@ -6,7 +6,7 @@
 import type { BootId, InstanceId, Instant, Millis, NodeName } from '../src/process/brands.js';
 import { ListAgreement } from '../src/process/listAgreement.js';
 import { Registry } from '../src/process/registry.js';
-import type { EndpointRow } from '../src/version/digests.js';
+import type { EndpointRow } from '../src/version/snapshots.js';
 import { EndpointList, HeldList, ListMark, type HostWord } from '../src/version/endpointList.js';
 import { suite } from './harness.js';
 import { names, World, type Endpoint, type Host } from './rejoinWorld.js';
--- a/test/rejoinWorld.ts
+++ b/test/rejoinWorld.ts
@@ -7,7 +7,7 @@
 import { ListAgreement } from '../src/process/listAgreement.js';
 import { LocalEndpoints } from '../src/process/localEndpoints.js';
 import { Registry } from '../src/process/registry.js';
-import type { EndpointDigest, EndpointRow } from '../src/version/digests.js';
+import type { EndpointSnapshot, EndpointRow } from '../src/version/snapshots.js';
 import { HeldList, ListMark } from '../src/version/endpointList.js';
 
 const TICK_MS = 50;
@@ -38,7 +38,7 @@
   /** When it comes back. */
   upAt: number;
   held: HeldList;
-  digest: EndpointDigest | null;
+  snapshot: EndpointSnapshot | null;
   directory: number;
   answeredAt: number;
   /** Departed instances that a list which it was given had no longer, by the directory's own mark. */
@@ -91,7 +91,7 @@
     this.count += 1;
     const host: Host = {
       name, boot: `${name}-${this.chance.below(1e9)}-${this.count}` as BootId, voice: new HostVoice(1_000_000 + this.now + (former?.stepMs ?? 0)), isUp: true, isDue: true, stepMs: former?.stepMs ?? 0, upAt: Infinity,
-      local: new LocalEndpoints({ now: () => this.now as Instant }, () => { host.isDue = true; }), held: HeldList.empty, digest: null, directory: this.chance.below(3), answeredAt: this.now, gone: new Set(),
+      local: new LocalEndpoints({ now: () => this.now as Instant }, () => { host.isDue = true; }), held: HeldList.empty, snapshot: null, directory: this.chance.below(3), answeredAt: this.now, gone: new Set(),
     };
     this.hosts.set(name, host);
     this.endUnknown();
@@ -238,21 +238,21 @@
   private poll(host: Host): void {
     if (this.now - host.answeredAt > 1400) host.directory = (host.directory + 1 + this.chance.below(2)) % 3;
     const { name } = this.directories[host.directory] as Directory;
-    const had = host.digest;
+    const had = host.snapshot;
     this.send(host.name, name, () => {
       const { registry, agreement } = this.directories[Number(name.slice(1))] as Directory;
-      const digest = registry.current();
-      const isNews = digest !== null && (had?.directory !== digest.directory || had.serial !== digest.serial || agreement.takeResend(host.name));
+      const snapshot = registry.current();
+      const isNews = snapshot !== null && (had?.directory !== snapshot.directory || had.serial !== snapshot.serial || agreement.takeResend(host.name));
       const departed = this.endpoints.filter((endpoint) => endpoint.departed && this.knowsDeparture(registry, endpoint));
       this.send(name, host.name, () => {
         if (this.hosts.get(host.name) !== host) return;
         host.answeredAt = this.now;
-        if (!isNews || (host.digest?.directory === digest.directory && host.digest.serial > digest.serial)) return;
-        host.digest = digest;
-        host.held = HeldList.after(host.held, digest.rows, digest.without ?? [], this.now as Instant);
+        if (!isNews || (host.snapshot?.directory === snapshot.directory && host.snapshot.serial > snapshot.serial)) return;
+        host.snapshot = snapshot;
+        host.held = HeldList.after(host.held, snapshot.rows, snapshot.without ?? [], this.now as Instant);
         const back = host.held.rows.find((row) => host.gone.has(row.instance));
         if (back !== undefined && this.now - this.changedAt > TOLD_MS) throw new Error(`seed ${this.seed}: ${host.name} lists ${back.instance} again, which had departed`);
-        departed.forEach(({ instance }) => { if (!digest.rows.some((row) => row.instance === instance)) host.gone.add(instance); });
+        departed.forEach(({ instance }) => { if (!snapshot.rows.some((row) => row.instance === instance)) host.gone.add(instance); });
       });
     });
   }
--- a/test/windows.test.ts
+++ b/test/windows.test.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os';
 import * as assert from 'uvu/assert';
 import { callJson, Fleet, until } from '../src/fleet/fleet.js';
-import type { EndpointRow } from '../src/version/digests.js';
+import type { EndpointRow } from '../src/version/snapshots.js';
 import { Windows } from '../src/version/windows.js';
 import { suite } from './harness.js';
 
