--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -42,6 +42,8 @@
   /** The service of each sidecar's machine. */
   readonly services: readonly string[];
   readonly cores?: number;
+  /** How many requests endpoints get beyond their slots; none if not given, whatever the platform's settings say. */
+  readonly backlog?: number;
 }
 
 export interface PlatformMachine {
@@ -70,7 +72,10 @@
   readonly endpoints: PlatformEndpoint[] = [];
   private requestCount = 0;
 
+  private readonly backlog: number;
+
   private constructor(plan: PlatformPlan, block: string, readonly folder: string) {
+    this.backlog = plan.backlog ?? 0;
     this.cores = Array.from({ length: plan.cores ?? 3 }, (_, index) => ({ name: `core${index + 1}`, host: `${block}.${index + 1}`, service: '' }));
     this.machines = plan.services.map((service, index) => ({ name: `app${index + 1}`, host: `${block}.${index + 11}`, service }));
   }
@@ -209,7 +214,7 @@
     if (filled.isErr()) throw new Error(filled.error.describe());
     const file = join(this.folder, `${machine.name}-${template}.json`);
     writeFileSync(file, filled.value);
-    const few = program === 'sidecar' ? ['--rehearsed-orders', String(REHEARSED)] : [];
+    const few = program === 'sidecar' ? ['--rehearsed-orders', String(REHEARSED), '--endpoint-backlog', String(this.backlog)] : [];
     const daemon = new Daemon(program, ['--settings', file, '--log-level', 'info', ...few], `${machine.host}:${adminPort}`);
     if (program !== 'ratebook') daemon.programs = join(distFolder, 'platform');
     return daemon;
