Let directories read what they tell one another of lists: a list may be empty

Cause: the items of three lists in messages were of a shape that must be there, so an empty list was refused, and with it the whole message: no directory took another's masks, calendars or list.

--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -8,6 +8,8 @@
 
 const text = Joi.string().max(256).required();
 const whole = Joi.number().integer().min(0).required();
+/** One of a list that may be empty: an item that must be there would forbid that. */
+const item = Joi.string().max(256);
 
 /** A switchboard asks with what it has. */
 export interface NodePoll {
@@ -63,7 +65,7 @@
 }
 export const nodeReportShape = Joi.object({
   node: text, boot: text, life: Joi.number().required(), sequence: whole, zone: text, hop: text, manifest: whole, rows: Joi.array().items(endpointRowShape).max(10_000).required(),
-  changed: Joi.number().integer().min(0), departed: Joi.array().items(text).max(10_000), mark: Joi.string().allow('').max(64),
+  changed: Joi.number().integer().min(0), departed: Joi.array().items(item).max(10_000), mark: Joi.string().allow('').max(64),
 });
 
 /** What a host should know of its report: a later boot's word stands above it, or it names instances that have departed. */
@@ -71,7 +73,7 @@
   readonly above?: number;
   readonly departed?: readonly InstanceId[];
 }
-export const reportAnswerShape = Joi.object({ above: Joi.number().min(0), departed: Joi.array().items(text) });
+export const reportAnswerShape = Joi.object({ above: Joi.number().min(0), departed: Joi.array().items(item) });
 
 /** The totals of one caller for one endpoint since the caller's boot, and its latest outcomes by age. */
 export interface OutcomeRow {
@@ -111,7 +113,7 @@
 const departuresShape = Joi.array().items(Joi.object({ instance: text, agoMs: Joi.number().min(0).required() }));
 export const maskMessageShape = Joi.object({
   masks: Joi.array().items(maskSnapshotShape).required(), from: Joi.string().max(64), calendar: Joi.string().allow('').max(64),
-  list: Joi.object({ mark: text, silent: Joi.array().items(text).max(10_000).required(), departed: departuresShape }),
+  list: Joi.object({ mark: text, silent: Joi.array().items(item).max(10_000).required(), departed: departuresShape }),
 });
 
 /** What one directory tells another each second of its list of endpoints. */
--- a/test/rejoinFleet.test.ts
+++ b/test/rejoinFleet.test.ts
@@ -130,6 +130,7 @@
   const verdicts = check({ sent, answers, runs: fleet.logs((endpoint) => endpoint.runs), arrivals: fleet.logs((endpoint) => endpoint.arrivals), departures, changes, forces, outages: [], harms, readBack: { serial, content } });
   const counts = ['answered', 'not-run', 'unknown'].map((ending) => `${ending} ${answers.filter((answer) => answer.ending === ending).length}`);
   process.stdout.write(`\n     ${sent} orders: ${counts.join(', ')} `);
+  assert.equal(fleet.daemons().flatMap((daemon) => daemon.lines.filter(({ event }) => event === 'message-turned-away').map(({ reason }) => `${daemon.program}: ${String(reason)}`)), [], 'messages of our own that another process would not read');
   assert.equal(verdicts.filter((verdict) => verdict.faults.length > 0).map((verdict) => [verdict.line, verdict.faults.slice(0, 3)]), []);
 });
 
