--- a/src/process/outcomeBook.ts
+++ b/src/process/outcomeBook.ts
@@ -1,6 +1,6 @@
 import { Map as Table } from 'immutable';
 import type { OutcomeRow } from '../connection/nodeCalls.js';
-import type { EndpointRow } from '../version/snapshots.js';
+import { rowKey, type EndpointRow } from '../version/snapshots.js';
 import type { HealthRules } from '../version/manifest.js';
 import type { Instant } from './brands.js';
 import type { Clock } from './clock.js';
@@ -37,14 +37,7 @@
 /** Outcomes without a failure tell no more than the latest of them, which ends a run of failures seen elsewhere. */
 const telling = (recent: readonly Outcome[]): readonly Outcome[] => (recent.some(({ failed }) => failed) ? recent : recent.slice(-1));
 
-const keys = new WeakMap<object, string>();
-const keyOf = (row: EndpointRow): string => {
-  const known = keys.get(row);
-  if (known !== undefined) return known;
-  const key = `${row.service}/${row.id}/${row.instance}`;
-  keys.set(row, key);
-  return key;
-};
+const keyOf = rowKey((row) => `${row.service}/${row.id}/${row.instance}`);
 
 /**
  * Counts the outcome of every round against its endpoint, for the report to the directories, and masks by the
--- a/src/process/picker.ts
+++ b/src/process/picker.ts
@@ -1,6 +1,6 @@
 import { Map as Table } from 'immutable';
 import type { Load } from '../connection/hopCalls.js';
-import { MaskSnapshot, type EndpointRow } from '../version/snapshots.js';
+import { MaskSnapshot, rowKey, type EndpointRow } from '../version/snapshots.js';
 import type { BindingId, BootId, Instant, NodeName, ServiceName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
 import type { OutcomeBook } from './outcomeBook.js';
@@ -65,15 +65,7 @@
   readonly fullAt: Map<BindingId, Instant>;
 }
 
-/** Rows are snapshots, so each key is made once. */
-const keys = new WeakMap<EndpointRow, string>();
-const keyOf = (row: EndpointRow): string => {
-  const known = keys.get(row);
-  if (known !== undefined) return known;
-  const key = `${row.service}/${row.id}/${row.instance}/${row.nodeBoot}`;
-  keys.set(row, key);
-  return key;
-};
+const keyOf = rowKey((row) => `${row.service}/${row.id}/${row.instance}/${row.nodeBoot}`);
 const sameEndpoint = (one: EndpointRow, other: EndpointRow): boolean => one.id === other.id && keyOf(one) === keyOf(other);
 
 /** Picks the endpoint that is expected to answer first: by the time its requests take, its load, and its zone. */
--- a/src/version/snapshots.ts
+++ b/src/version/snapshots.ts
@@ -75,3 +75,15 @@
   isLater: (one: MaskSnapshot, other: MaskSnapshot | undefined): boolean =>
     other === undefined || one.epoch > other.epoch || (one.epoch === other.epoch && one.serial > other.serial),
 } as const;
+
+/** Makes the key of a row once: rows are snapshots and never change. */
+export const rowKey = (make: (row: EndpointRow) => string): ((row: EndpointRow) => string) => {
+  const keys = new WeakMap<EndpointRow, string>();
+  return (row) => {
+    const known = keys.get(row);
+    if (known !== undefined) return known;
+    const key = make(row);
+    keys.set(row, key);
+    return key;
+  };
+};
