--- a/src/fleet/hollowNode.ts
+++ b/src/fleet/hollowNode.ts
@@ -4,7 +4,7 @@
 import { WireClient, type WireDefect } from '../connection/wire.js';
 import type { Address, BootId, EndpointId, InstanceId, NodeName, Serial, ServiceName, ZoneName } from '../process/brands.js';
 import type { ShareAsk } from '../process/shareBook.js';
-import { MaskSnapshot, type EndpointSnapshot, type EndpointRow } from '../version/snapshots.js';
+import { EndpointSnapshot, MaskSnapshot, type EndpointRow } from '../version/snapshots.js';
 import type { Chance } from './chance.js';
 
 /** The pace of a switchboard: its list, its shares, the successes among its outcomes, a held poll and its silence. */
@@ -154,7 +154,7 @@
     while (!this.isStopping) {
       const boot = this.boot;
       const poll: NodePoll = {
-        node: this.place.name, manifest: this.manifest, directory: this.endpoints?.directory ?? '', endpoints: this.endpoints?.serial ?? (0 as Serial),
+        node: this.place.name, manifest: this.manifest, directory: this.endpoints?.directory ?? '', endpoints: this.endpoints?.serial ?? (0 as Serial), takesChanges: true,
         masks: [...this.masks.values()].map(({ service, epoch, serial }) => ({ service, epoch, serial })), waitMs: HOLD_MS,
       };
       const news = await this.call<NodeNews>(this.directory, NodePath.poll, poll, HOLD_MS + SILENCE_MS);
@@ -175,8 +175,9 @@
     const later = news.masks.filter((mask) => MaskSnapshot.isLater(mask, this.masks.get(mask.service)));
     this.heard.masks += news.masks.length;
     if (later.length > 0) this.masks = new Map([...this.masks, ...later.map((mask) => [mask.service, mask] as const)]);
-    if (news.endpoints === null) return;
-    this.endpoints = news.endpoints;
+    const list = news.endpoints === null ? null : EndpointSnapshot.after(this.endpoints, news.endpoints);
+    if (news.endpoints === null || list === null) return;
+    this.endpoints = list;
     this.heard.lists += 1;
     this.heard.listRows += news.endpoints.rows.length;
   }
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -2,7 +2,7 @@
 import { Pollers } from '../connection/pollers.js';
 import { NodePath, nodeNewsShape, type SnapshotAsk, type NodeNews, type NodePoll } from '../connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
-import { MaskSnapshot, type EndpointSnapshot, type EndpointRow, type ManifestSnapshot } from '../version/snapshots.js';
+import { EndpointSnapshot, MaskSnapshot, type EndpointRow, type ManifestSnapshot } from '../version/snapshots.js';
 import { HeldList, ListMark } from '../version/endpointList.js';
 import { Manifest, type AllowanceRules, type Binding, type HealthRules } from '../version/manifest.js';
 import { Matcher } from '../version/matcher.js';
@@ -26,6 +26,8 @@
 const FIRST_HOLD_MS = 300;
 const FIRST_REST_MS = 50;
 const NEIGHBOURS_MS = 300;
+/** A directory of this zone that failed is passed over for so long. */
+const FAR_MS = 10_000;
 const NEIGHBOURS_ASKED = 5;
 const NEIGHBOUR_ANSWER_MS = 500;
 
@@ -50,6 +52,9 @@
 export class Delivery {
   private inForce: InForce = InForce.of({ serial: 0 as Serial, manifest: EMPTY });
   private endpoints: EndpointSnapshot | null = null;
+  /** The list as its directory has it: what its differences build on. */
+  private told: EndpointSnapshot | null = null;
+  private readonly failedAt = new Map<Address, Instant>();
   private held = HeldList.empty;
   private mark = '';
   private rowsOf: ReadonlyMap<ServiceName, readonly EndpointRow[]> = new Map();
@@ -199,16 +204,17 @@
       if (news.isOk()) this.hear(news.value, directory);
       else void this.askOnce();
       if (news.isErr() || !news.value.isCurrent) {
+        this.failedAt.set(directory, this.frame.clock.now());
         this.chosenDirectory = this.nextDirectory(directory);
         await this.news.wait((news.isErr() ? 50 : 200) as Millis);
-      }
+      } else if (!this.isNear(directory)) this.chosenDirectory = this.nearDirectory(directory) ?? directory;
     }
   }
 
   private async ask(directory: Address, waitMs: number): Promise<Result<NodeNews, WireDefect>> {
     const endTimer = this.pollTime.startTimer();
     const poll: NodePoll = {
-      node: this.frame.settings.node, manifest: this.inForce.serial, directory: this.endpoints?.directory ?? '', endpoints: this.endpoints?.serial ?? (0 as Serial),
+      node: this.frame.settings.node, manifest: this.inForce.serial, directory: this.told?.directory ?? '', endpoints: this.told?.serial ?? (0 as Serial), takesChanges: true,
       masks: [...this.masks.values()].map(({ service, epoch, serial }) => ({ service, epoch, serial })), waitMs,
     };
     const answer: Result<NodeNews, WireDefect> = await this.wire.call<NodeNews>(directory, NodePath.poll, poll, waitMs + SILENCE_MS, nodeNewsShape);
@@ -216,11 +222,22 @@
     return answer;
   }
 
+  private isNear(directory: Address): boolean {
+    return this.membership.having('directory').some(({ zone, wire }) => wire === directory && zone === this.frame.settings.zone);
+  }
+
   private nextDirectory(former: Address | null): Address | null {
     const known = this.membership.having('directory').map((member) => member.wire);
     const others = known.filter((address) => address !== former);
     const pool = others.length > 0 ? others : known;
-    return pool[Math.floor(Math.random() * pool.length)] ?? null;
+    return this.nearDirectory(former) ?? pool[Math.floor(Math.random() * pool.length)] ?? null;
+  }
+
+  /** A directory of this zone that has lately not failed: bytes between zones are dear. */
+  private nearDirectory(former: Address | null): Address | null {
+    const now = this.frame.clock.now();
+    const near = this.membership.having('directory').filter(({ zone, wire }) => zone === this.frame.settings.zone && wire !== former && now - (this.failedAt.get(wire) ?? -Infinity) > FAR_MS);
+    return near[Math.floor(Math.random() * near.length)]?.wire ?? null;
   }
 
   /** One question to every directory; whoever waits, waits for the first current answer, a short while at most. */
@@ -246,7 +263,7 @@
     const others = this.membership.having('switchboard').filter((member) => member.boot !== this.frame.boot);
     const asked = this.hasSnapshots ? [...others].sort(() => Math.random() - 0.5).slice(0, NEIGHBOURS_ASKED) : others;
     const ask: SnapshotAsk = { manifest: this.inForce.serial };
-    const learn = (news: NodeNews): void => this.learn({ ...news, endpoints: news.isCurrent || this.endpoints === null ? news.endpoints : null });
+    const learn = (news: NodeNews): void => this.learn({ ...news, endpoints: news.isCurrent || this.endpoints === null ? news.endpoints : null }, false);
     const isStarting = !this.hasSnapshots;
     const answers = await Promise.all(asked.map(async ({ wire }): Promise<readonly NodeNews[]> => {
       const answer: Result<NodeNews, WireDefect> = await this.wire.call<NodeNews>(wire, NodePath.snapshot, ask, NEIGHBOUR_ANSWER_MS, nodeNewsShape);
@@ -265,10 +282,11 @@
       if (!this.hasHeardCurrent) this.chosenDirectory = directory;
       this.hasHeardCurrent = true;
     }
-    this.learn(news.isWarming === true && directory !== this.chosenDirectory ? { ...news, endpoints: null } : news);
+    this.learn(news.isWarming === true && directory !== this.chosenDirectory ? { ...news, endpoints: null } : news, true);
   }
 
-  private learn(news: NodeNews): void {
+  /** Takes what is later; a neighbour's list is no base for a directory's differences. */
+  private learn(news: NodeNews, isDirectory: boolean): void {
     if (news.manifest !== null && news.manifest.serial > this.inForce.serial) {
       this.inForce = InForce.of(news.manifest);
       this.frame.log.info({ event: 'manifest-in-force', serial: this.inForce.serial });
@@ -277,8 +295,9 @@
     const lifted = later.flatMap((mask) => this.tables(mask.service).rows.filter((row) => MaskSnapshot.holds(this.masks.get(mask.service), row) && !MaskSnapshot.holds(mask, row)));
     if (later.length > 0) this.masks = new Map([...this.masks, ...later.map((mask) => [mask.service, mask] as const)]);
     if (lifted.length > 0) this.onUnmasked(lifted);
-    const endpoints = news.endpoints;
+    const endpoints = news.endpoints === null ? null : EndpointSnapshot.after(this.told, news.endpoints);
     if (endpoints !== null && !(this.endpoints?.directory === endpoints.directory && this.endpoints.serial > endpoints.serial)) {
+      this.told = isDirectory ? endpoints : null;
       this.held = HeldList.after(this.held, endpoints.rows, endpoints.without ?? [], this.frame.clock.now());
       const { rows } = this.held;
       this.endpoints = { ...endpoints, rows };
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -68,7 +68,7 @@
     this.registry = new Registry(frame.boot, frame.clock, rules.lapseMs, rules.warmMs, () => this.news.wake(), (rows) => this.windows.mark(rows, new Date()), (event) => this.agreement.note(event));
     this.agreement = new ListAgreement(frame.settings.node, frame.clock, frame.log, frame.metrics, () => this.registry);
     this.merger = new OutcomeMerger(frame.clock, rulesNow);
-    this.masks = new MaskDuty(this.registry, this.merger, { epochOf: (service) => this.epochOf(service) }, frame.clock, frame.log, rulesNow, links.probe, (changed) => {
+    this.masks = new MaskDuty(this.registry, this.merger, { self: frame.settings.node, epochOf: (service) => this.epochOf(service) }, frame.clock, frame.log, rulesNow, links.probe, (changed) => {
       this.news.wake();
       links.tellDirectories({ masks: changed });
     });
@@ -213,12 +213,14 @@
     const warm = this.registry.current();
     const hasNone = message.directory === '' || message.directory === this.frame.boot;
     const endpoints = warm ?? (hasNone ? this.registry.early() : null);
-    const hasEndpoints = endpoints === null || (message.directory === endpoints.directory && message.endpoints === endpoints.serial && !this.agreement.takeResend(message.node));
+    const hasOurs = endpoints !== null && message.directory === endpoints.directory;
+    const hasEndpoints = endpoints === null || (hasOurs && message.endpoints === endpoints.serial && !this.agreement.takeResend(message.node));
+    const difference = hasOurs && message.takesChanges === true && message.endpoints !== endpoints.serial ? this.registry.since(message.endpoints) : null;
     const masks = this.masks.all().filter((mask) => {
       const had = message.masks.find((one) => one.service === mask.service);
       return had === undefined || mask.epoch > had.epoch || (mask.epoch === had.epoch && mask.serial > had.serial);
     });
-    return { manifest: manifest !== null && manifest.serial > message.manifest ? { serial: manifest.serial, manifest: { ...manifest.manifest, source: null } } : null, endpoints: hasEndpoints ? null : endpoints, masks, isCurrent: this.follower.isCurrent(), isWarming: warm === null };
+    return { manifest: manifest !== null && manifest.serial > message.manifest ? { serial: manifest.serial, manifest: { ...manifest.manifest, source: null } } : null, endpoints: hasEndpoints ? null : difference ?? endpoints, masks, isCurrent: this.follower.isCurrent(), isWarming: warm === null };
   }
 
   /** A node asks with the newest serial for the first time: from now on it is known to be in force there. */
--- a/src/process/maskDuty.ts
+++ b/src/process/maskDuty.ts
@@ -1,13 +1,14 @@
 import type { Logger } from 'pino';
 import { MaskSnapshot, type EndpointRow, type MaskEntry } from '../version/snapshots.js';
 import type { HealthRules } from '../version/manifest.js';
-import type { Epoch, Instant, Serial, ServiceName } from './brands.js';
+import type { Epoch, Instant, NodeName, Serial, ServiceName } from './brands.js';
 import type { Clock } from './clock.js';
 import type { OutcomeMerger } from './outcomeMerger.js';
 import type { Registry } from './registry.js';
 
 /** Whether this directory holds the duty for a service, and under which epoch. */
 export interface DutyView {
+  readonly self: NodeName;
   epochOf(service: ServiceName): Epoch | null;
 }
 
@@ -81,7 +82,7 @@
     if (epoch === null || (former !== undefined && former.epoch > epoch)) return;
     const names = (list: readonly MaskEntry[]): string => list.map((entry) => `${entry.endpoint}/${entry.instance}`).join();
     if (former !== undefined && former.epoch === epoch && names(former.entries) === names(entries)) return;
-    const mask: MaskSnapshot = { service, epoch, serial: (former?.epoch === epoch ? former.serial + 1 : 1) as Serial, entries };
+    const mask: MaskSnapshot = { service, epoch, serial: (former?.epoch === epoch ? former.serial + 1 : 1) as Serial, entries, by: this.duties.self };
     this.log.info({ event: 'mask', service, epoch, serial: mask.serial, entries });
     this.adopt([mask]);
     this.onChange([mask]);
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -1,5 +1,6 @@
 import type { ListAsk, ListHint, ListNews, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
 import type { EndpointSnapshot, EndpointRow } from '../version/snapshots.js';
+import { ListChanges } from '../version/listChanges.js';
 import { EndpointList, ListMark, type HostWord, type ListedWord, type ServiceMarks } from '../version/endpointList.js';
 import type { BootId, EndpointId, InstanceId, Instant, Millis, NodeName, Serial, ServiceName } from './brands.js';
 import type { Clock } from './clock.js';
@@ -44,6 +45,7 @@
   private unconfirmed: ReadonlySet<NodeName> = new Set();
   private serial = 0;
   private snapshot: EndpointSnapshot;
+  private changes = ListChanges.none;
   private serviceMarks: ServiceMarks = {};
   private wholeMark = ListMark.of([]);
   private readonly startedAt: Instant;
@@ -96,6 +98,12 @@
     return this.clock.now() - this.startedAt < this.warmMs ? null : this.snapshot;
   }
 
+  /** The list for one that has this directory's list of an earlier serial: what changed since, where that is still known. */
+  since(serial: Serial): EndpointSnapshot | null {
+    const snapshot = this.current();
+    return snapshot === null ? null : this.changes.since(snapshot, serial);
+  }
+
   /** The same at every process that holds the same list. */
   get listMark(): string {
     return this.wholeMark;
@@ -232,6 +240,7 @@
     rows.forEach((row) => this.hadRows.add(row.node));
     const without = this.list.words().flatMap((word): readonly ListedWord[] =>
       (word.changed !== null && !word.isDropped && this.hadRows.has(word.node) && this.list.rowsOf(word).length === 0 ? [{ node: word.node, boot: word.boot, life: word.life, changed: word.changed }] : []));
+    this.changes = this.changes.after(this.snapshot.rows, rows, this.serial as Serial);
     this.snapshot = { directory: this.boot, serial: this.serial as Serial, rows, without };
     this.serviceMarks = ListMark.byService(listed);
     this.wholeMark = ListMark.whole(this.serviceMarks);
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -1,7 +1,7 @@
-import { NodePath, reportAnswerShape, type NodeReport, type OutcomeReport, type ReportAnswer } from '../connection/nodeCalls.js';
+import { NodePath, reportAnswerShape, type NodeReport, type OutcomeReport, type OutcomeRow, type ReportAnswer } from '../connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
 import type { EndpointRow } from '../version/snapshots.js';
-import { Address, type Serial } from './brands.js';
+import { Address, type NodeName, type Serial, type ServiceName } from './brands.js';
 import { HostVoice } from './hostVoice.js';
 import type { LocalEndpoints } from './localEndpoints.js';
 import type { Membership } from './membership.js';
@@ -13,7 +13,7 @@
 const LIST_MS = 1000;
 const OUTCOMES_MS = 250;
 const TELL_MS = 1000;
-/** Of so many turns one tells successes too, and of so many of those one tells everything. */
+/** Of so many turns one tells successes too, to the directory that merges them, and of so many one tells everything to all. */
 const CHANGED_EVERY = 8;
 const WHOLE_EVERY = 64;
 
@@ -26,7 +26,7 @@
   private hasEnded = false;
   private met: ReadonlySet<string> = new Set();
 
-  constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly endpoints: LocalEndpoints, private readonly book: OutcomeBook, private readonly serialNow: () => Serial, private readonly markNow: () => string) {}
+  constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly endpoints: LocalEndpoints, private readonly book: OutcomeBook, private readonly serialNow: () => Serial, private readonly markNow: () => string, private readonly mergerOf: (service: ServiceName) => NodeName | null) {}
 
   start(): void {
     this.membership.onChange(() => this.meet());
@@ -81,10 +81,20 @@
 
   private async sendOutcomes(): Promise<void> {
     this.turn += 1;
-    const rows = this.book.report(this.turn % WHOLE_EVERY === 0 ? 'all' : this.turn % CHANGED_EVERY === 0 ? 'changed' : 'failing');
-    if (rows.length === 0) return;
-    const report: OutcomeReport = { node: this.frame.settings.node, boot: this.frame.boot, life: this.voice.life, sequence: this.voice.next(), rows };
-    await this.tellAll(NodePath.outcomes, report);
+    const everywhere = this.book.report(this.turn % WHOLE_EVERY === 0 ? 'all' : 'failing');
+    const successes = this.turn % CHANGED_EVERY === 0 ? this.book.report('changed') : [];
+    const directories = this.membership.having('directory');
+    const known = new Set(directories.map(({ name }) => name));
+    await Promise.all(directories.map(async ({ name, wire }) => {
+      const isMergedBy = ({ service }: OutcomeRow): boolean => {
+        const merger = this.mergerOf(service);
+        return merger === null || !known.has(merger) || merger === name;
+      };
+      const rows = [...everywhere, ...successes.filter(isMergedBy)];
+      if (rows.length === 0) return;
+      const report: OutcomeReport = { node: this.frame.settings.node, boot: this.frame.boot, life: this.voice.life, sequence: this.voice.next(), rows };
+      await this.wire.call(wire, NodePath.outcomes, report, TELL_MS);
+    }));
   }
 
   /** A directory knows better than this host remembers. */
@@ -95,8 +105,4 @@
     }
     if (this.voice.hear(advice)) this.changed();
   }
-
-  private async tellAll(path: string, message: object): Promise<void> {
-    await Promise.all(this.membership.having('directory').map((member) => this.wire.call(member.wire, path, message, TELL_MS)));
-  }
 }
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -101,7 +101,7 @@
   const hosting = new Hosting(frame, endpoints, delivery, links, doors.speech);
   const traces = new Traces(settings.tracesKept);
   const forwarder = new Forwarder(frame, { delivery, picker, book, allowance, hosting, wire, traces, speech: doors.speech, callingService: settings.callingService ?? null, random: Math.random });
-  const reporter = new Reporter(frame, membership, wire, endpoints, book, () => delivery.serial(), () => delivery.listMark());
+  const reporter = new Reporter(frame, membership, wire, endpoints, book, () => delivery.serial(), () => delivery.listMark(), (service) => delivery.tables(service).mask?.by ?? null);
   const beatsTurnedAway = new Counter({ name: 'opalstair_beats_turned_away_total', help: 'Announcements that were malformed or from elsewhere', registers: [frame.metrics] });
   new Gauge({ name: 'opalstair_allowance_tokens', help: 'Repeats left at each branch of the tree', labelNames: ['branch'], registers: [frame.metrics], collect() { allowance.views().forEach(({ branch, tokens }) => this.set({ branch }, tokens)); } });
 
--- a/src/version/snapshots.ts
+++ b/src/version/snapshots.ts
@@ -37,6 +37,9 @@
   readonly rows: readonly EndpointRow[];
   /** Hosts whose latest word lists nothing. */
   readonly without?: readonly ListedWord[];
+  /** Where it is only a difference: the serial that it builds on, and the keys of the rows that are gone since. */
+  readonly since?: Serial;
+  readonly gone?: readonly string[];
 }
 
 export interface MaskEntry {
@@ -52,6 +55,8 @@
   readonly epoch: Epoch;
   readonly serial: Serial;
   readonly entries: readonly MaskEntry[];
+  /** The directory that made it: it has the duty, and merges what callers count. */
+  readonly by?: NodeName;
 }
 
 const text = Joi.string().max(256).required();
@@ -61,11 +66,11 @@
   unconfirmed: Joi.boolean(), life: Joi.number().min(0), changed: Joi.number().integer().min(0),
 });
 export const maskSnapshotShape = Joi.object({
-  service: text, epoch: whole, serial: whole,
+  service: text, epoch: whole, serial: whole, by: Joi.string().max(64),
   entries: Joi.array().items(Joi.object({ endpoint: text, instance: text, reason: Joi.string().required(), since: Joi.date().required() })).required(),
 });
 const listedWordShape = Joi.object({ node: text, boot: text, life: Joi.number().min(0).required(), changed: whole });
-export const endpointSnapshotShape = Joi.object({ directory: text, serial: whole, rows: Joi.array().items(endpointRowShape).required(), without: Joi.array().items(listedWordShape) });
+export const endpointSnapshotShape = Joi.object({ directory: text, serial: whole, rows: Joi.array().items(endpointRowShape).required(), without: Joi.array().items(listedWordShape), since: Joi.number().integer().min(0), gone: Joi.array().items(Joi.string().max(600)) });
 export const manifestSnapshotShape = Joi.object({ serial: whole, manifest: Joi.object({ services: Joi.array().required(), bindings: Joi.array().required(), health: Joi.object().required(), allowance: Joi.object().required(), limits: Joi.object().required(), source: Joi.string().allow(null) }).required() });
 
 export const MaskSnapshot = {
@@ -87,3 +92,18 @@
     return key;
   };
 };
+
+/** The key of a row within one directory's list: its host and its endpoint. */
+export const listKey = rowKey((row) => `${row.node}/${row.id}`);
+
+export const EndpointSnapshot = {
+  /** The whole list that a directory's news leave at a node that has an earlier list of it; null when the news build on another one. */
+  after: (known: EndpointSnapshot | null, news: EndpointSnapshot): EndpointSnapshot | null => {
+    if (news.since === undefined) return news;
+    if (known === null || known.directory !== news.directory || known.serial !== news.since) return null;
+    const rows = new Map(known.rows.map((row) => [listKey(row), row] as const));
+    news.gone?.forEach((key) => rows.delete(key));
+    news.rows.forEach((row) => rows.set(listKey(row), row));
+    return { directory: news.directory, serial: news.serial, rows: [...rows.values()], ...(news.without === undefined ? {} : { without: news.without }) };
+  },
+} as const;
--- a/test/health.test.ts
+++ b/test/health.test.ts
@@ -3,7 +3,7 @@
 import type { StandInEndpoint } from '../src/fleet/standInEndpoint.js';
 import { pino } from 'pino';
 import type { NodeReport } from '../src/connection/nodeCalls.js';
-import type { BootId, EndpointId, Epoch, InstanceId, Instant, Millis, Serial, ServiceName } from '../src/process/brands.js';
+import type { BootId, EndpointId, Epoch, InstanceId, Instant, Millis, NodeName, Serial, ServiceName } from '../src/process/brands.js';
 import { judge } from '../src/process/health.js';
 import { MaskDuty } from '../src/process/maskDuty.js';
 import { OutcomeMerger } from '../src/process/outcomeMerger.js';
@@ -56,7 +56,7 @@
   const rowOf = (id: string, instance: string): object => ({ id, service: 'line', instance, address: '10.0.0.1:1', zone: 'z', slots: 1, leaving: false, node: 'app1', nodeBoot: 'b', hop: '10.0.0.1:2' });
   const hear = (sequence: number, rows: readonly object[]): void => { registry.hear({ node: 'app1', boot: 'b', life: 1, sequence, zone: 'z', hop: '10.0.0.1:2', manifest: 1, rows } as unknown as NodeReport); };
   const rules = Manifest.check({ services: [], bindings: [] })._unsafeUnwrap().health;
-  const duty = new MaskDuty(registry, new OutcomeMerger(clock, () => rules), { epochOf: () => 5 as Epoch }, clock, pino({ level: 'silent' }), () => rules, () => Promise.resolve(false), () => undefined);
+  const duty = new MaskDuty(registry, new OutcomeMerger(clock, () => rules), { self: 'directory1' as NodeName, epochOf: () => 5 as Epoch }, clock, pino({ level: 'silent' }), () => rules, () => Promise.resolve(false), () => undefined);
   const line = 'line' as ServiceName;
   duty.learn([{ service: line, epoch: 4 as Epoch, serial: 1 as Serial, entries: [{ endpoint: 'late' as EndpointId, instance: 'i' as InstanceId, reason: 'it failed', since: new Date() }] }]);
   const masked = (): readonly string[] => duty.all().flatMap((mask) => mask.entries.map((entry) => `${mask.epoch} ${entry.endpoint}`));
