--- a/src/process/members.ts
+++ b/src/process/members.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import Joi from 'joi';
 import type { Address, BootId, Instant, Millis, NodeName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
@@ -27,6 +28,8 @@
   readonly from: Address;
   readonly about: Address;
   readonly news: readonly Member[];
+  /** With a request for the whole list: the mark of the asker's. Who holds the same answers nothing. */
+  readonly mark?: string;
 }
 
 const memberShape = Joi.object({
@@ -38,7 +41,7 @@
 export const gossipShape = Joi.object({
   cluster: Joi.string().required(), kind: Joi.string().valid('ping', 'ack', 'pingFor', 'sync', 'news').required(),
   probe: Joi.number().required(), from: Joi.string().max(64).required(), about: Joi.string().allow('').max(64).required(),
-  news: Joi.array().items(memberShape).max(16).required(),
+  news: Joi.array().items(memberShape).max(16).required(), mark: Joi.string().max(64),
 });
 
 /** What the owner of the member table wants done. */
@@ -73,8 +76,11 @@
   readonly start: Instant;
 }
 
+/** Each process tells a piece of news so often for each tenfold of the mesh. */
+const TELLINGS = 4;
 /** The whole list costs bytes that grow with the mesh, so in calm times it is asked for seldom. */
 const SYNC_PROBES = 4;
+const MARK_LENGTH = 12;
 const CALM_PROBES = 20;
 /** One that starts asks again after this part of the time that it has been there: soon at first, when the others are starting too. */
 const CALL_PART = 0.25;
@@ -152,7 +158,8 @@
 
   /** A datagram of this mesh came in. */
   hear(gossip: Gossip): readonly MemberCommand[] {
-    const commands = gossip.news.flatMap((member) => this.learn(member));
+    const isWholeList = gossip.kind === 'news' && gossip.news.every((member) => member.state === 'alive');
+    const commands = gossip.news.flatMap((member) => this.learn(member, isWholeList));
     switch (gossip.kind) {
       case 'ping':
         return [...commands, this.send(gossip.from, 'ack', gossip.probe)];
@@ -164,7 +171,7 @@
       case 'ack':
         return [...commands, ...this.acked(gossip.probe)];
       case 'sync':
-        return [...commands, ...this.tellAll(gossip.from)];
+        return gossip.mark === this.mark() ? commands : [...commands, ...this.tellAll(gossip.from)];
       case 'news':
         return commands;
     }
@@ -255,7 +262,8 @@
     return packets;
   }
 
-  private learn(heard: Member): readonly MemberCommand[] {
+  /** What comes with the whole list is being told by others already: it is not told on from here. */
+  private learn(heard: Member, isTold: boolean): readonly MemberCommand[] {
     if (keyOf(heard) === keyOf(this.self)) {
       const doubted = heard.state !== 'alive' || heard.boot !== this.self.boot;
       if (!doubted || heard.life < this.self.life || this.self.state === 'gone') return [];
@@ -265,13 +273,13 @@
     }
     const known = this.rows.get(keyOf(heard))?.member;
     const newer = known === undefined || heard.life > known.life || (heard.life === known.life && rank[heard.state] > rank[known.state]);
-    return newer ? this.put(heard) : [];
+    return newer ? this.put(heard, isTold ? Infinity : 0) : [];
   }
 
-  private put(member: Member): readonly MemberCommand[] {
+  private put(member: Member, tellings = 0): readonly MemberCommand[] {
     const now = this.clock.now();
     const former = this.rows.get(keyOf(member))?.member;
-    this.rows = new Map([...this.rows, [keyOf(member), { member, since: now, tellings: 0 }]]);
+    this.rows = new Map([...this.rows, [keyOf(member), { member, since: now, tellings }]]);
     if (former === undefined || former.state !== member.state || former.boot !== member.boot) this.lastNews = now;
     return [{ kind: 'changed' }];
   }
@@ -284,13 +292,19 @@
     return { kind: 'send', to, gossip: { ...this.gossip(kind, probe), about } };
   }
 
+  /** The same at all that know of the same processes: suspicions pass too quickly to count. */
+  private mark(): string {
+    const texts = this.living().map((member) => `${keyOf(member)}/${member.boot}/${member.life}`);
+    return createHash('sha256').update(texts.sort().join()).digest('base64url').slice(0, MARK_LENGTH);
+  }
+
   private gossip(kind: Gossip['kind'], probe: number): Gossip {
-    const most = 3 * Math.ceil(Math.log2(this.rows.size + 2));
+    const most = TELLINGS * Math.ceil(Math.log10(this.rows.size + 2));
     const freshest = [...this.rows].filter(([, row]) => row.tellings < most)
       .sort(([, one], [, other]) => one.tellings - other.tellings).slice(0, this.rules.newsPerPacket - 1);
     this.rows = new Map([...this.rows, ...freshest.map(([key, row]) => [key, { ...row, tellings: row.tellings + 1 }] as const)]);
     const news = [this.self, ...freshest.map(([, row]) => row.member)];
-    return { cluster: this.rules.cluster, kind, probe, from: this.self.member, about: '' as Address, news };
+    return { cluster: this.rules.cluster, kind, probe, from: this.self.member, about: '' as Address, news, ...(kind === 'sync' ? { mark: this.mark() } : {}) };
   }
 
   private pick(count: number, exceptKey: string): readonly Member[] {
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -14,7 +14,7 @@
 const OUTCOMES_MS = 250;
 const TELL_MS = 1000;
 /** Of so many turns one tells successes too, to the directory that merges them, and of so many one tells everything to all. */
-const CHANGED_EVERY = 8;
+const CHANGED_EVERY = 16;
 const WHOLE_EVERY = 64;
 
 /** Passes on to every directory what this machine's endpoints say, and what came of the rounds sent from here. */
--- a/test/members.test.ts
+++ b/test/members.test.ts
@@ -15,6 +15,8 @@
   cut: (from: string, to: string) => boolean = () => false;
   loss = 0;
   sent = 0;
+  /** How many members all datagrams together told of. */
+  told = 0;
 
   constructor(seed: number, size: number) {
     this.chance = new Chance(seed);
@@ -66,6 +68,7 @@
   private obey(from: string, commands: readonly MemberCommand[]): void {
     this.sent += commands.filter((command) => command.kind === 'send').length;
     for (const command of commands) {
+      if (command.kind === 'send') this.told += command.gossip.news.length;
       if (command.kind !== 'send' || this.frozen.has(command.to) || this.cut(from, command.to) || this.chance.happens(this.loss)) continue;
       const target = this.tables.get(command.to);
       if (target !== undefined) this.obey(command.to, target.hear(command.gossip));
@@ -96,6 +99,16 @@
   assert.is(lonely.sent - before, 90, 'in the long run each seed is asked once in four probes');
 });
 
+test('a start of 60 tells each process of the others a bounded number of times, and all meet within seconds', () => {
+  const mesh = new Mesh(8, 60);
+  const took = mesh.pass(20_000, () => mesh.everyoneSees(60));
+  assert.ok(took < 5000, `met after ${took} ms`);
+  mesh.pass(20_000 - took, () => false);
+  const each = mesh.told / 60;
+  assert.ok(each < 400, `${Math.round(each)} members told of by each process in 20 s`);
+  process.stdout.write(`     met after ${took} ms, ${Math.round(each)} members told of by each in 20 s\n`);
+});
+
 test('with a fifth of all datagrams lost nobody is removed for good', () => {
   const mesh = new Mesh(2, 15);
   mesh.pass(20_000, () => mesh.everyoneSees(15));
