--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -26,6 +26,10 @@
 /** By how much one step of priority counts against the time that a request takes. */
 const PRIORITY_STEP = 2;
 const MOST_KINDS = 1000;
+/** A request whose caller gives it less than this part of what callers of its kind lately gave was refused before and has come back. */
+const AGAIN_PART = 0.97;
+/** It goes after those that are new: what is served at the second try earns less, and whoever waits longest is worth least. */
+const AGAIN_STEP = 4;
 
 /** What an endpoint says of itself in each beat. */
 export interface Announcement {
@@ -70,6 +74,9 @@
   /** 0 before the first was served. */
   meanMs: number;
   askedAt: Instant;
+  /** The most time that callers lately gave one, and when. */
+  givenMs: number;
+  givenAt: Instant;
 }
 interface Nonce {
   readonly nonce: string;
@@ -100,6 +107,8 @@
   /** Requests of one kind take a like time; one that takes much less than most here goes before them and may wait longer. */
   readonly kind?: string;
   readonly mostMsIfSmall?: number;
+  /** How long its caller gave it in all, in milliseconds. */
+  readonly givenMs?: number;
 }
 
 /** What an order must find at its endpoint. */
@@ -243,10 +252,12 @@
     if (fault !== null) return err(fault);
     const spot = this.standing.get(wanted.endpoint) as Standing;
     const kind = this.kindOf(spot, waiting.kind);
+    const isAgain = this.isAgain(kind, waiting.givenMs);
     if (spot.running >= spot.said.slots + this.backlog) {
       const kindMs = kind.meanMs > 0 ? kind.meanMs : spot.meanMs;
-      const rank = kindMs * PRIORITY_STEP ** waiting.priority;
-      const mostMs = this.isSmall(spot, kind) ? waiting.mostMsIfSmall ?? waiting.mostMs : waiting.mostMs;
+      const isSmall = this.isSmall(spot, kind);
+      const rank = kindMs * PRIORITY_STEP ** waiting.priority * (isAgain && !isSmall ? AGAIN_STEP : 1);
+      const mostMs = isSmall ? waiting.mostMsIfSmall ?? waiting.mostMs : waiting.mostMs;
       if (spot.waiters.length >= spot.said.slots * QUEUE_PER_SLOT || mostMs <= 0 || this.expectedWaitMs(spot, rank) > mostMs) return err('full');
       if (!(await this.waitTurn(spot, rank, kindMs, mostMs))) return err(this.faultOf(wanted) ?? 'full');
     }
@@ -294,11 +305,22 @@
       return known;
     }
     if (spot.kinds.size >= MOST_KINDS) spot.kinds.clear();
-    const fresh: Kind = { meanMs: 0, askedAt: now };
+    const fresh: Kind = { meanMs: 0, askedAt: now, givenMs: 0, givenAt: now };
     spot.kinds.set(name, fresh);
     return fresh;
   }
 
+  private isAgain(kind: Kind, givenMs: number | undefined): boolean {
+    if (givenMs === undefined) return false;
+    const now = this.clock.now();
+    const isLess = givenMs < AGAIN_PART * kind.givenMs && now - kind.givenAt < KIND_FRESH_MS;
+    if (!isLess) {
+      kind.givenMs = givenMs;
+      kind.givenAt = now;
+    }
+    return isLess;
+  }
+
   /** Whether a kind takes much less than the longest that is lately asked for here, served or refused. */
   private isSmall(spot: Standing, kind: Kind): boolean {
     if (kind.meanMs === 0) return false;
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -145,7 +145,7 @@
     const aimMs = binding?.aimMs ?? null;
     const agedMs = order.heldMs + hereMs;
     const patience = aimMs === null ? mostMs : Math.min(mostMs, aimMs * (priority === 0 ? HIGHEST_AIM_SHARE : AIM_SHARE) - agedMs);
-    return { priority, kind: order.binding, mostMs: patience, mostMsIfSmall: mostMs };
+    return { priority, kind: order.binding, mostMs: patience, mostMsIfSmall: mostMs, givenMs: order.leftMs + order.heldMs };
   }
 
   private turnAway(order: HopOrder, cause: TurnAwayCause): HopVerdict {
--- a/test/build.test.ts
+++ b/test/build.test.ts
@@ -15,9 +15,9 @@
 after(async () => rmSync(folder, { recursive: true, force: true }));
 
 const runLines = (): readonly (readonly string[])[] =>
-  [...readFileSync(join(project, 'deploy', 'system.toml'), 'utf8').matchAll(/^run = "node (.*) target\/(\w+)\.mjs/gm)].map(([, flags = '', name = '']) => [name, ...flags.split(' ')]);
+  [...readFileSync(join(project, 'deploy', 'system.toml'), 'utf8').matchAll(/^run = "node (.*) target\/(\w+)\.cjs/gm)].map(([, flags = '', name = '']) => [name, ...flags.split(' ')]);
 const version = (name: string, flags: readonly string[]): SpawnSyncReturns<string> =>
-  spawnSync(process.execPath, [...flags, '--require', hook, join(folder, `${name}.mjs`), '--version'], { encoding: 'utf8' });
+  spawnSync(process.execPath, [...flags, '--require', hook, join(folder, `${name}.cjs`), '--version'], { encoding: 'utf8' });
 
 test('every program starts from the code that was kept at the build, without it when that can not be used, and without Node\'s fetch', () => {
   const built = spawnSync(process.execPath, [join('deploy', 'build.mjs'), folder], { cwd: project, encoding: 'utf8' });
@@ -28,7 +28,7 @@
   for (const [name = '', ...flags] of lines) {
     const kept = version(name, flags);
     assert.equal([kept.stdout, kept.stderr], [`${name} ${RELEASE}\n`, 'refused: false\n']);
-    const code = join(folder, `${name}.cjs.code`);
+    const code = join(folder, `${name}.bundle.cjs.code`);
     truncateSync(code, readFileSync(code).length / 2);
     const damaged = version(name, flags);
     assert.equal([damaged.stdout, damaged.stderr], [`${name} ${RELEASE}\n`, 'refused: true\n']);
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -124,6 +124,23 @@
   last.leave(10);
 });
 
+test('a request that has come back goes after those that are new, but not when its kind is small', async () => {
+  const local = new LocalEndpoints({ now: () => 0 as Instant }, () => undefined);
+  local.beat(said)._unsafeUnwrap();
+  const order: string[] = [];
+  const take = (name: string, kind: string, givenMs: number): Promise<void> => local.seat(wanted, { kind, priority: 1, mostMs: 60_000, givenMs }).then((seat) => {
+    order.push(name);
+    seat._unsafeUnwrap().leave(kind === 'short' ? 10 : 100);
+  });
+  await take('first', 'long', 600);
+  await take('first short', 'short', 200);
+  const busy = (await local.seat(wanted, { kind: 'long', priority: 1, mostMs: 0 }))._unsafeUnwrap();
+  const all = [take('long again', 'long', 500), take('long new', 'long', 600), take('short again', 'short', 150), take('long as good as new', 'long', 590)];
+  busy.leave(100);
+  await Promise.all(all);
+  assert.equal(order, ['first', 'first short', 'short again', 'long new', 'long as good as new', 'long again']);
+});
+
 test('an endpoint that queues by itself is given so many requests beyond its slots, and no more', async () => {
   const local = new LocalEndpoints({ now: () => 0 as Instant }, () => undefined, () => undefined, 1);
   local.beat(said)._unsafeUnwrap();
