--- a/src/connection/endpointExchange.ts
+++ b/src/connection/endpointExchange.ts
@@ -4,7 +4,7 @@
 import { Defect } from '../process/defect.js';
 import { HeaderText, type TurnAwayCause, type WholeAnswer } from './hopCalls.js';
 import { EndpointLinks } from './endpointLinks.js';
-import { BodyText } from './bodyText.js';
+import { Headers } from './headers.js';
 import type { AnswerFacts } from './speech.js';
 
 /** An endpoint's answer may be this long. */
@@ -89,7 +89,7 @@
   const chunks: Buffer[] = [];
   let length = 0;
   const sent = request({
-    method: order.method, path: order.url, headers: order.headers as never, setHost: false, insecureHTTPParser: false, maxHeaderSize: 32 * 1024, agent: order.agent,
+    method: order.method, path: order.url, headers: Headers.toRecord(order.headers) as never, setHost: false, insecureHTTPParser: false, maxHeaderSize: 32 * 1024, agent: order.agent,
   });
   const finish = (outcome: Result<WholeAnswer, EndpointDefect>): void => {
     if (settled) return;
@@ -104,7 +104,7 @@
     const fault = order.fault();
     if (fault !== null) return finish(err(new SeatLost(fault)));
     sending = true;
-    BodyText.end(sent, order.body);
+    sent.end(order.body.length > 0 ? order.body : undefined);
   });
   sent.on('error', (error) => finish(err(sending ? new BrokenAnswer('the exchange broke', error) : new NoConnection('the endpoint took no connection', error))));
   sent.on('upgrade', () => finish(err(new BrokenAnswer('the endpoint changed the protocol'))));
--- a/src/connection/orderDoor.ts
+++ b/src/connection/orderDoor.ts
@@ -3,7 +3,6 @@
 import type { CallerOrder, Ending } from '../request/forwarder.js';
 import { Defect } from '../process/defect.js';
 import { METHODS } from '../version/manifest.js';
-import { BodyText } from './bodyText.js';
 import { Headers } from './headers.js';
 import { HeaderText } from './hopCalls.js';
 import type { OwnAnswer, Speech } from './speech.js';
@@ -11,7 +10,6 @@
 /** An order may be this long. */
 export const ORDER_LIMIT = 16 * 1024 * 1024;
 const RETRY_AFTER_MS = 1000;
-const NOTHING = new Uint8Array();
 
 class OrderTooLong extends Defect {
   readonly kind = 'order-too-long';
@@ -38,10 +36,6 @@
 /** Reads a body whole; what is longer than the limit, in bytes, is refused. */
 export const readWhole = (incoming: IncomingMessage, limit: number): Promise<Result<Uint8Array, OrderTooLong | OrderCutOff>> => new Promise((settle) => {
   if (Number(incoming.headers['content-length'] ?? 0) > limit) return settle(err(new OrderTooLong(`more than ${limit} bytes`)));
-  if (incoming.headers['content-length'] === undefined && incoming.headers['transfer-encoding'] === undefined) {
-    incoming.resume();
-    return settle(ok(NOTHING));
-  }
   const chunks: Buffer[] = [];
   let length = 0;
   incoming.on('data', (chunk: Buffer) => {
@@ -66,7 +60,7 @@
   const kept = Headers.ofAnswer(HeaderText.read(headers), method, status, body.length);
   outgoing.sendDate = false;
   outgoing.writeHead(status, [...kept, ...desk.speech.withAnswer(ending.order), ...(desk.isClosing() ? ['connection', 'close'] : [])]);
-  BodyText.end(outgoing, method === 'HEAD' || status === 204 || status === 304 ? NOTHING : body);
+  outgoing.end(method === 'HEAD' || status === 204 || status === 304 ? undefined : body);
 };
 
 /** The callers' side: reads orders whole, hands them in and gives the endings back. */
