--- a/src/connection/hopCalls.ts
+++ b/src/connection/hopCalls.ts
@@ -51,7 +51,7 @@
   readonly body: Uint8Array;
 }
 
-/** What came of one round, apart from the endpoint's own status. */
+/** What came of one attempt, apart from the endpoint's own status. */
 export type HopVerdict =
   | { readonly kind: 'answered'; readonly answer: WholeAnswer; readonly load: Load }
   | { readonly kind: 'turnedAway'; readonly cause: TurnAwayCause; readonly serial: Serial; readonly load: Load }
--- a/src/process/manifestClerk.ts
+++ b/src/process/manifestClerk.ts
@@ -13,7 +13,7 @@
   readonly manifest: unknown;
 }
 
-const ROUND_MS = 2500;
+const ATTEMPT_MS = 2500;
 
 /**
  * Takes operators' changes to whichever ratebook owns the manifest. A change that may have been proposed is
@@ -50,7 +50,7 @@
       for (const address of this.candidates()) {
         const left = this.cutoffMs - (this.clock.now() - start);
         if (left <= 0) break;
-        const answer = await call(address, Math.min(left, ROUND_MS));
+        const answer = await call(address, Math.min(left, ATTEMPT_MS));
         if (answer.isErr()) {
           if (answer.error.kind !== 'unreachable') mayBeProposed = true;
           lastWord = answer.error.describe();
--- a/src/process/outcomeBook.ts
+++ b/src/process/outcomeBook.ts
@@ -9,8 +9,8 @@
 import type { PlaceSettings } from './settings.js';
 import { Tally } from './tally.js';
 
-/** What one round said about the endpoint. */
-export type RoundOutcome = 'served' | 'failed' | 'turnedAway' | 'pathDefect';
+/** What one attempt said about the endpoint. */
+export type AttemptOutcome = 'served' | 'failed' | 'turnedAway' | 'pathDefect';
 
 /** A local mask: this caller alone found the endpoint failing. */
 export interface LocalMask {
@@ -40,7 +40,7 @@
 const keyOf = rowKey((row) => `${row.service}/${row.id}/${row.instance}`);
 
 /**
- * Counts the outcome of every round against its endpoint, for the report to the directories, and masks by the
+ * Counts the outcome of every attempt against its endpoint, for the report to the directories, and masks by the
  * same two rules on this caller's own evidence at once.
  */
 export class OutcomeBook {
@@ -54,7 +54,7 @@
     this.tally = new Tally(frame.metrics, 'opalstair_rounds_total', 'Rounds by service and outcome', ['service', 'outcome']);
   }
 
-  note(row: EndpointRow, outcome: RoundOutcome): void {
+  note(row: EndpointRow, outcome: AttemptOutcome): void {
     this.tally.add(row.service, outcome);
     const now = this.clock.now();
     const rules = this.rulesNow();
@@ -119,7 +119,7 @@
     this.trials = this.trials.filter((_at, key) => kept.has(key));
   }
 
-  private masked(account: Account, outcome: RoundOutcome, rules: HealthRules, now: Instant): Account {
+  private masked(account: Account, outcome: AttemptOutcome, rules: HealthRules, now: Instant): Account {
     if (account.mask !== null) {
       if (outcome === 'served') return { ...account, mask: null, recent: [], baseCalls: account.calls, baseFailures: account.failures, cycleStart: now };
       return outcome === 'failed' ? { ...account, mask: { ...account.mask, triedAt: now } } : account;
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -17,7 +17,7 @@
 const CHANGED_EVERY = 16;
 const WHOLE_EVERY = 64;
 
-/** Passes on to every directory what this machine's endpoints say, and what came of the rounds sent from here. */
+/** Passes on to every directory what this machine's endpoints say, and what came of the attempts sent from here. */
 export class Reporter {
   private readonly voice = new HostVoice(Date.now());
   private turn = 0;
--- a/src/process/traces.ts
+++ b/src/process/traces.ts
@@ -1,5 +1,5 @@
 import type { BindingId, OrderId, Serial, ServiceName } from './brands.js';
-import type { RoundRecord } from '../request/orderOwner.js';
+import type { AttemptRecord } from '../request/orderOwner.js';
 import type { Pick } from './picker.js';
 
 /** Why an order went where it went. */
@@ -12,7 +12,7 @@
   readonly binding: BindingId | null;
   readonly service: ServiceName | null;
   readonly picks: readonly Pick[];
-  readonly rounds: readonly RoundRecord[];
+  readonly rounds: readonly AttemptRecord[];
   readonly ending: string;
   readonly tookMs: number;
 }
--- a/src/programs/calltrace.ts
+++ b/src/programs/calltrace.ts
@@ -64,7 +64,7 @@
     ...trace.picks.flatMap((pick, index) => [
       `round ${index + 1}: ${pick.chosen === null ? 'no endpoint was left' : `picked ${place(pick.chosen.row)}${pick.chosen.isTrial ? ', as the trial of a masked one' : ''}`}`,
       ...pick.passedOver.map(({ row, why }) => `    passed over ${place(row)}: ${why}`),
-      ...trace.rounds.slice(index, index + 1).map((round) => `    ${round.outcome}${round.detail === '' ? '' : `: ${round.detail}`}${round.mayHaveRun ? '' : ' (did not run)'}`),
+      ...trace.rounds.slice(index, index + 1).map((attempt) => `    ${attempt.outcome}${attempt.detail === '' ? '' : `: ${attempt.detail}`}${attempt.mayHaveRun ? '' : ' (did not run)'}`),
     ]),
     `ending: ${trace.ending} after ${Math.round(trace.tookMs)} ms`,
   ];
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -5,7 +5,7 @@
 import type { Allowance } from '../process/allowance.js';
 import type { Instant, OrderId, ServiceName } from '../process/brands.js';
 import type { InForce, TablesInForce } from '../process/delivery.js';
-import type { OutcomeBook, RoundOutcome } from '../process/outcomeBook.js';
+import type { OutcomeBook, AttemptOutcome } from '../process/outcomeBook.js';
 import type { Pick, Picker } from '../process/picker.js';
 import type { Frame } from '../process/program.js';
 import type { PlaceSettings } from '../process/settings.js';
@@ -15,7 +15,7 @@
 import { Manifest, type Binding } from '../version/manifest.js';
 import type { Hosting } from './hosting.js';
 import type { Target } from '../version/matcher.js';
-import { OrderOwner, type OrderCommand, type OrderEvent, type RoundKind } from './orderOwner.js';
+import { OrderOwner, type OrderCommand, type OrderEvent, type AttemptKind } from './orderOwner.js';
 import type { OwnOutcome, Speech } from '../connection/speech.js';
 import type { Result } from 'neverthrow';
 
@@ -112,7 +112,7 @@
     };
     const owner: OrderOwner = new OrderOwner({
       isRepeatable: () => Manifest.isRepeatable(trip.binding, given.method), leftMs: () => this.left(trip), attempts: () => trip.binding.attempts,
-      mayAskOn: () => trip.binding.aimMs === null || (this.held(trip) < ASK_ON_SHARE * trip.binding.aimMs && owner.history().filter((round) => round.detail === 'full').length < FULL_MOST),
+      mayAskOn: () => trip.binding.aimMs === null || (this.held(trip) < ASK_ON_SHARE * trip.binding.aimMs && owner.history().filter((attempt) => attempt.detail === 'full').length < FULL_MOST),
     });
     this.parts.allowance.earn(trip.service, trip.binding.id);
     const ending = await this.obey(trip, owner);
@@ -143,7 +143,7 @@
       switch (command.kind) {
         case 'answer': return { kind: 'answer', order: trip.order, answer: command.answer };
         case 'tell': return { ...command, kind: 'own', order: trip.order, retryAfterMs: command.outcome === 'not-run' && command.status === 503 ? this.retryAfter(trip, owner) : null };
-        case 'pick': command = owner.on(this.pick(trip, command.tried, command.round)); break;
+        case 'pick': command = owner.on(this.pick(trip, command.tried, command.attempt)); break;
         case 'forward': command = owner.on(await this.forward(trip, command.row)); break;
         case 'lookUp': command = owner.on(await this.lookUp(trip, command.row)); break;
         case 'awaitSerial': {
@@ -165,14 +165,14 @@
     }
   }
 
-  private pick(trip: Trip, tried: readonly EndpointRow[], round: RoundKind): OrderEvent {
+  private pick(trip: Trip, tried: readonly EndpointRow[], attempt: AttemptKind): OrderEvent {
     const { service, binding: { id, aimMs } } = trip;
     const query = { service, isRepeatable: Manifest.isRepeatable(trip.binding, trip.given.method), tried, binding: id, aimMs, isUrgent: trip.binding.priority === 0 };
     const pick = this.parts.picker.pick(query, this.parts.delivery.tables(service));
     trip.picks = [...trip.picks, pick];
     if (pick.chosen === null) return { kind: 'nonePicked' };
-    if (round === 'repeat' && !this.parts.allowance.take(service, id)) return { kind: 'noAllowance' };
-    this.hops.add(service, round);
+    if (attempt === 'repeat' && !this.parts.allowance.take(service, id)) return { kind: 'noAllowance' };
+    this.hops.add(service, attempt);
     return { kind: 'picked', row: pick.chosen.row };
   }
 
@@ -220,7 +220,7 @@
   }
 
   private count(row: EndpointRow, event: OrderEvent): void {
-    const note = (outcome: RoundOutcome): void => this.parts.book.note(row, outcome);
+    const note = (outcome: AttemptOutcome): void => this.parts.book.note(row, outcome);
     if (event.kind === 'hostUnreachable' || event.kind === 'hopLost') {
       this.parts.picker.rest(row);
       return note('pathDefect');
@@ -242,7 +242,7 @@
 
   /** When it is worth coming back after a refusal. */
   private retryAfter(trip: Trip, owner: OrderOwner): number {
-    const wasFull = trip.picks.at(-1)?.passedOver.some(({ why }) => why === 'full') === true || owner.history().some((round) => round.detail === 'full' || round.detail === 'refused-by-endpoint');
+    const wasFull = trip.picks.at(-1)?.passedOver.some(({ why }) => why === 'full') === true || owner.history().some((attempt) => attempt.detail === 'full' || attempt.detail === 'refused-by-endpoint');
     return wasFull ? FULL_RETRY_SHARE * (trip.binding.aimMs ?? trip.binding.cutoffMs) : NOTHING_RETRY_MS;
   }
 
--- a/src/request/orderOwner.ts
+++ b/src/request/orderOwner.ts
@@ -25,13 +25,13 @@
 
 export type OwnStatus = 404 | 502 | 503 | 504;
 
-/** A first round, another after proof that nothing reached an endpoint, or a repeat, which the allowance pays for. */
-export type RoundKind = 'first' | 'again' | 'repeat';
+/** A first attempt, another after proof that nothing reached an endpoint, or a repeat, which the allowance pays for. */
+export type AttemptKind = 'first' | 'again' | 'repeat';
 
 /** What the owner wants done next: exactly one thing at a time, until it answers. */
 export type OrderCommand =
-  | { readonly kind: 'pick'; readonly tried: readonly EndpointRow[]; readonly round: RoundKind }
-  | { readonly kind: 'forward'; readonly row: EndpointRow; readonly round: number }
+  | { readonly kind: 'pick'; readonly tried: readonly EndpointRow[]; readonly attempt: AttemptKind }
+  | { readonly kind: 'forward'; readonly row: EndpointRow; readonly attempt: number }
   | { readonly kind: 'lookUp'; readonly row: EndpointRow }
   | { readonly kind: 'awaitSerial'; readonly serial: Serial }
   /** Match the order anew: the manifest has moved on. */
@@ -39,8 +39,8 @@
   | { readonly kind: 'answer'; readonly answer: WholeAnswer }
   | { readonly kind: 'tell'; readonly status: OwnStatus; readonly outcome: OwnOutcome; readonly reason: string; readonly detail: string };
 
-/** One round, as the traces keep it. */
-export interface RoundRecord {
+/** One attempt, as the traces keep it. */
+export interface AttemptRecord {
   readonly row: EndpointRow;
   readonly outcome: 'answered' | 'turned away' | 'not sent' | 'defect' | 'lost' | 'running';
   readonly detail: string;
@@ -59,14 +59,14 @@
 }
 
 const LEAST_LEFT_MS = 10;
-const MOST_ROUNDS = 8;
+const MOST_ATTEMPTS = 8;
 
 /**
- * The owner of one order. It alone knows whether the order may have run, and so whether another round is
- * allowed: after proof that no round ran, or when the order is repeatable.
+ * The owner of one order. It alone knows whether the order may have run, and so whether another attempt is
+ * allowed: after proof that no attempt ran, or when the order is repeatable.
  */
 export class OrderOwner {
-  private rounds: readonly RoundRecord[] = [];
+  private attempts: readonly AttemptRecord[] = [];
   private chosenRow: EndpointRow | null = null;
   private lastReason = 'no-endpoint';
   private lastDetail = 'no endpoint of the service may take the order';
@@ -74,9 +74,9 @@
 
   constructor(private readonly facts: OrderFacts) {}
 
-  /** The rounds so far, for the traces. */
-  history(): readonly RoundRecord[] {
-    return this.rounds;
+  /** The attempts so far, for the traces. */
+  history(): readonly AttemptRecord[] {
+    return this.attempts;
   }
 
   on(event: OrderEvent): OrderCommand {
@@ -84,8 +84,8 @@
       case 'began': return this.pick();
       case 'picked':
         this.chosenRow = event.row;
-        this.rounds = [...this.rounds, { row: event.row, outcome: 'running', detail: '', mayHaveRun: true, hasArrived: true }];
-        return { kind: 'forward', row: event.row, round: this.rounds.length };
+        this.attempts = [...this.attempts, { row: event.row, outcome: 'running', detail: '', mayHaveRun: true, hasArrived: true }];
+        return { kind: 'forward', row: event.row, attempt: this.attempts.length };
       case 'nonePicked': return this.giveUp();
       case 'noAllowance': return this.giveUp();
       case 'verdict': return this.onVerdict(event.verdict);
@@ -151,33 +151,33 @@
   }
 
   private next(): OrderCommand {
-    const allowed = this.facts.isRepeatable() || this.rounds.every((round) => !round.mayHaveRun);
-    const arrived = this.rounds.filter((round) => round.hasArrived).length;
+    const allowed = this.facts.isRepeatable() || this.attempts.every((attempt) => !attempt.mayHaveRun);
+    const arrived = this.attempts.filter((attempt) => attempt.hasArrived).length;
     const inTime = this.facts.leftMs() >= LEAST_LEFT_MS && (arrived > 0 || this.facts.mayAskOn());
-    return allowed && inTime && arrived < this.facts.attempts() && this.rounds.length < MOST_ROUNDS ? this.pick() : this.giveUp();
+    return allowed && inTime && arrived < this.facts.attempts() && this.attempts.length < MOST_ATTEMPTS ? this.pick() : this.giveUp();
   }
 
   private pick(): OrderCommand {
-    const round = this.rounds.length === 0 ? 'first' : this.rounds.some((one) => one.hasArrived) ? 'repeat' : 'again';
-    return { kind: 'pick', tried: this.rounds.map((one) => one.row), round };
+    const attempt = this.attempts.length === 0 ? 'first' : this.attempts.some((one) => one.hasArrived) ? 'repeat' : 'again';
+    return { kind: 'pick', tried: this.attempts.map((one) => one.row), attempt };
   }
 
   private giveUp(provenStatus: OwnStatus = 503): OrderCommand {
     if (this.lastAnswer !== null) return { kind: 'answer', answer: this.lastAnswer };
-    const isProven = this.rounds.every((round) => !round.mayHaveRun);
+    const isProven = this.attempts.every((attempt) => !attempt.mayHaveRun);
     const outcome: OwnOutcome = isProven ? 'not-run' : 'unknown';
     const status: OwnStatus = isProven ? provenStatus : this.facts.leftMs() < LEAST_LEFT_MS ? 504 : 502;
     return { kind: 'tell', status, outcome, reason: this.lastReason, detail: this.lastDetail };
   }
 
-  private close(outcome: RoundRecord['outcome'], detail: string, mayHaveRun: boolean, reason: string, hasArrived = mayHaveRun): void {
+  private close(outcome: AttemptRecord['outcome'], detail: string, mayHaveRun: boolean, reason: string, hasArrived = mayHaveRun): void {
     this.lastReason = reason;
     this.lastDetail = detail;
     this.note(outcome, detail, mayHaveRun, hasArrived);
   }
 
-  private note(outcome: RoundRecord['outcome'], detail: string, mayHaveRun: boolean, hasArrived = mayHaveRun): void {
-    const last = this.rounds.at(-1);
-    if (last !== undefined) this.rounds = [...this.rounds.slice(0, -1), { ...last, outcome, detail, mayHaveRun, hasArrived }];
+  private note(outcome: AttemptRecord['outcome'], detail: string, mayHaveRun: boolean, hasArrived = mayHaveRun): void {
+    const last = this.attempts.at(-1);
+    if (last !== undefined) this.attempts = [...this.attempts.slice(0, -1), { ...last, outcome, detail, mayHaveRun, hasArrived }];
   }
 }
