--- a/src/connection/wire.ts
+++ b/src/connection/wire.ts
@@ -61,8 +61,8 @@
   constructor(private readonly cluster: string, private readonly localHost: string, private readonly connectMs = 500) {}
 
   /** Sends one message; an unreachable defect proves that nothing of it was sent. */
-  call<T>(address: Address, path: string, message: object, cutoffMs: number, shape: Shape = ANYTHING): ResultAsync<T, WireDefect> {
-    return new ResultAsync(this.linkTo(address).call(path, message, Math.max(1, cutoffMs)).then((answer) => answer.andThen((document) => checkShape<T>(document, shape))));
+  call<T>(address: Address, path: string, message: object, deadlineMs: number, shape: Shape = ANYTHING): ResultAsync<T, WireDefect> {
+    return new ResultAsync(this.linkTo(address).call(path, message, Math.max(1, deadlineMs)).then((answer) => answer.andThen((document) => checkShape<T>(document, shape))));
   }
 
   close(): Promise<void> {
--- a/src/connection/wireLink.ts
+++ b/src/connection/wireLink.ts
@@ -49,13 +49,13 @@
     return this.state !== 'ended' && !this.isRetired;
   }
 
-  call(path: string, message: object, cutoffMs: number): Promise<Result<object, WireDefect>> {
+  call(path: string, message: object, deadlineMs: number): Promise<Result<object, WireDefect>> {
     this.count += 1;
     const number = this.count;
     this.usedAt = performance.now();
     return new Promise((settle) => {
       const what = `${this.address}${path}`;
-      const timer = setTimeout(() => this.overdue(number), cutoffMs);
+      const timer = setTimeout(() => this.overdue(number), deadlineMs);
       this.pending.set(number, { what, settle, timer, askedAt: this.usedAt });
       const bytes = BSON.serialize({ number, path, message } satisfies Envelope, { ignoreUndefined: true });
       if (this.state === 'open') this.socket.send(bytes, () => undefined);
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -108,8 +108,8 @@
   }
 
   private async attempt(order: HopOrder, arrival: Instant): Promise<HopVerdict> {
-    const cutoff = arrival + order.leftMs;
-    const left = (): number => cutoff - this.frame.clock.now();
+    const deadline = arrival + order.leftMs;
+    const left = (): number => deadline - this.frame.clock.now();
     if (this.isStopping) return this.turnAway(order, 'stopping');
     if (order.serial > this.manifest.serial() && !(await this.manifest.reach(order.serial))) return this.turnAway(order, 'manifest-behind');
     const faultNow = (): TurnAwayCause | null => {
