--- a/src/connection/plainDoor.ts
+++ b/src/connection/plainDoor.ts
@@ -51,5 +51,7 @@
     const found = calls.map((call) => ({ call, name: call.method === incoming.method ? nameIn(call.path, incoming.url ?? '') : null })).find(({ name }) => name !== null);
     give(outgoing, found === undefined ? { status: 404 } : await found.call.answer(found.name ?? '', parsed(body.value)));
   };
-  return (incoming, outgoing) => void take(incoming, outgoing);
+  return (incoming, outgoing) => void take(incoming, outgoing).catch(() => {
+    if (!outgoing.headersSent) give(outgoing, { status: 500 });
+  });
 };
--- a/test/plainDoor.test.ts
+++ b/test/plainDoor.test.ts
@@ -12,6 +12,7 @@
       heard.push([name, body]);
       return { status: 200, said: { name } };
     } },
+    { method: 'PUT', path: '/fault', answer: () => Promise.reject(new Error('a fault')) },
     { method: 'GET', path: '/ready', answer: () => ({ status: 503 }) },
   ], 64), '127.0.0.1', 0))._unsafeUnwrap();
   const call = async (method: string, path: string, body?: string): Promise<readonly [number, string]> => {
@@ -24,6 +25,7 @@
   assert.equal(await call('GET', '/ready'), [503, '']);
   for (const [method, path] of [['GET', '/things/a/said'], ['POST', '/things/a'], ['POST', '/things/%zz/said'], ['POST', '/ready'], ['GET', '/ready/']] as const) assert.is((await call(method, path))[0], 404, `${method} ${path}`);
   assert.is((await call('POST', '/things/d/said', JSON.stringify('x'.repeat(100))))[0], 413);
+  assert.is((await call('PUT', '/fault'))[0], 500, 'a fault of a call ends that call alone');
   assert.is(heard.length, 2);
   await door.close();
 });
