--- a/review/stand-ins/mesh.mjs
+++ b/review/stand-ins/mesh.mjs
@@ -130,6 +130,7 @@
     const mesh = new Mesh();
     const block = await freeBlock();
     Object.assign(mesh, { record, block, folder: mkdtempSync(join(tmpdir(), 'opalstair-review-')), roles: rolesOf(), machines: new Map(), processes: [], isInitial: true, seeds: [], calls: 0 });
+    process.on('exit', () => rmSync(mesh.folder, { recursive: true, force: true }));
     for (let number = 1; number <= cores; number += 1) mesh.addCore(number);
     mesh.seeds = mesh.cores().map((core) => core.name);
     sidecars.forEach((service, index) => mesh.add({ name: `app${index + 1}`, host: `${block}.${11 + index}`, kind: 'sidecar', service }, ['switchboard']));
