Bind a vote to its disk: an empty disk no longer votes for a lost one

Cause: asks went to an address and named no disk, and a disk that knows no roster answered any ask made under a roster above the first. Ruled out: a second founding (one line of rosters), the copying before an admission (the empty disk was never admitted in a broken round).

Why this works: an ask, a copy and what is copied name the disk; any other refuses, which proves that it did nothing. Whether a majority is heard goes by disks.

New: 3 and 5 disks, outages that overlap losses, addresses used again.

--- a/src/connection/storeCalls.ts
+++ b/src/connection/storeCalls.ts
@@ -1,10 +1,10 @@
 import Joi from 'joi';
-import { err, type Result, type ResultAsync } from 'neverthrow';
+import { err, ok, type Result, type ResultAsync } from 'neverthrow';
 import type { Address, ChangeId, DiskId, KeyName, Serial } from '../process/brands.js';
 import type { Defect } from '../process/defect.js';
 import { DamagedKey } from '../process/replica.js';
 import { DiskFull } from '../process/disk.js';
-import { NoVote, OldRoster } from '../process/quorum.js';
+import { NoVote, OldRoster, type AskScope } from '../process/quorum.js';
 import type { RegisterAsk, RegisterReply, RegisterState } from '../process/register.js';
 import { entryShape, type Entry, type RosterMember, type Voters } from '../version/entry.js';
 import { LostDefect } from '../process/defect.js';
@@ -18,9 +18,10 @@
 const whole = Joi.number().integer().min(0).required();
 export const votersShape = Joi.object({ serial: whole, members: Joi.array().items(Joi.object({ id: text, address: text })).max(16).required() });
 
-export interface AskMessage { readonly key: KeyName; readonly rosterSerial: number; readonly ask: RegisterAsk }
+/** An ask of one disk: what is asked of another by the address that they share in turn is refused. */
+export interface AskMessage extends AskScope { readonly key: KeyName; readonly ask: RegisterAsk }
 export const askShape = Joi.object({
-  key: text, rosterSerial: whole,
+  key: text, disk: Joi.string().max(256), rosterSerial: whole,
   ask: Joi.object({ kind: Joi.string().valid('show', 'inquire', 'claim', 'renew', 'accept', 'release').required(), epoch: whole, holder: text, leaseMs: Joi.number().min(0), isMending: Joi.boolean(), entry: entryShape }).required(),
 });
 
@@ -47,14 +48,15 @@
 export const replaceShape = Joi.object({ lost: text, replacement: text });
 
 /** What a spare disk is told to copy from before it may vote. */
-export interface CopyMessage { readonly members: readonly RosterMember[] }
-export const copyShape = Joi.object({ members: votersShape.extract('members') });
+export interface CopyMessage { readonly disk?: DiskId; readonly members: readonly RosterMember[] }
+export const copyShape = Joi.object({ disk: Joi.string().max(256), members: votersShape.extract('members') });
 export interface CopyAnswer { readonly copied: boolean; readonly detail: string }
 const copyAnswerShape = Joi.object({ copied: Joi.boolean().required(), detail: Joi.string().allow('').required() });
 
-/** All keys of one replica. */
-export interface DumpAnswer { readonly states: readonly { readonly key: KeyName; readonly state: RegisterState }[] }
+/** All keys of one replica, and which disk it is on; the former release does not say it. */
+export interface DumpAnswer { readonly disk?: DiskId; readonly states: readonly { readonly key: KeyName; readonly state: RegisterState }[] }
 const dumpShape = Joi.object({
+  disk: Joi.string().max(256),
   states: Joi.array().required().items(Joi.object({ key: text, state: Joi.object({ promised: whole, holder: Joi.string().allow('').required(), accepted: entryShape.allow(null).required() }).required() })),
 });
 
@@ -82,6 +84,9 @@
   }
 };
 
+const COPY_MS = 4000;
+const DUMP_MS = 2000;
+
 /** Calls on ratebooks, for other ratebooks and for directories. */
 export class StoreClient {
   constructor(private readonly wire: WireClient) {}
@@ -107,12 +112,18 @@
     return this.wire.call(address, StorePath.replace, message, cutoffMs, ownerAnswerShape);
   }
 
-  copy(address: Address, message: CopyMessage): ResultAsync<CopyAnswer, WireDefect> {
-    return this.wire.call(address, StorePath.copy, message, 4000, copyAnswerShape);
+  /** Has a spare disk copy all keys from the members. */
+  async copy(spare: RosterMember, members: readonly RosterMember[]): Promise<Result<CopyAnswer, WireDefect>> {
+    const message: CopyMessage = { disk: spare.id, members };
+    return this.wire.call<CopyAnswer>(spare.address, StorePath.copy, message, COPY_MS, copyAnswerShape);
   }
 
-  dump(address: Address): ResultAsync<Copies, WireDefect> {
-    return this.wire.call<DumpAnswer>(address, StorePath.dump, {}, 2000, dumpShape).map(({ states }) => new Map(states.map(({ key, state }) => [key, state])));
+  /** All keys of a voter's disk; what another disk at its address holds is none of them. */
+  async dump(voter: RosterMember): Promise<Result<Copies, Defect>> {
+    const answer: Result<DumpAnswer, Defect> = await this.wire.call<DumpAnswer>(voter.address, StorePath.dump, {}, DUMP_MS, dumpShape);
+    return answer.andThen(({ disk, states }) => (disk === voter.id
+      ? ok(new Map(states.map(({ key, state }) => [key, state])))
+      : err(new NoVote(`disk ${voter.id} is asked for, ${disk ?? 'one that does not say its name'} answers`))));
   }
 
   committed(address: Address, message: CommittedMessage): ResultAsync<object, WireDefect> {
--- a/src/fleet/storeSim.ts
+++ b/src/fleet/storeSim.ts
@@ -1,17 +1,22 @@
-import { err, ok, type Result } from 'neverthrow';
-import type { ChangeId, DiskId, Epoch, Instant, KeyName, Serial } from '../process/brands.js';
+import { err, type Result } from 'neverthrow';
+import type { Address, ChangeId, DiskId, Epoch, Instant, KeyName, Serial } from '../process/brands.js';
 import { LostDefect, type Defect } from '../process/defect.js';
-import { KeyOwner, type ChangeDefect } from '../process/keyOwner.js';
-import { hasVote, isFenced, NoVote, OldRoster, type VoterLink } from '../process/quorum.js';
-import { CatchUp } from '../process/catchUp.js';
-import { Register, type Grant, type RegisterAsk, type RegisterReply, type RegisterState } from '../process/register.js';
-import { copyFromMajority, mergedState } from '../process/spareCopy.js';
+import type { ChangeDefect } from '../process/keyOwner.js';
 import { nextRosterStep, type Present } from '../process/rosterKeeper.js';
-import { MANIFEST_KEY, ROSTER_KEY, Roster, type Entry, type RosterMember, type Voters } from '../version/entry.js';
+import { MANIFEST_KEY, ROSTER_KEY, type Entry, type Roster, type RosterMember } from '../version/entry.js';
 import type { Chance } from './chance.js';
-
-const LEASE_MS = 2000;
-const SIZE = 3;
+import { LEASE_MS, SimBook, type SimWorld } from './simBook.js';
+
+const DEFAULT_SIZE = 3;
+/** The longest time between two steps. */
+const STEP_MS = 30;
+/** How likely a step delivers a letter that is on its way, and how likely one that does not does harm. */
+const DELIVERING = 0.9;
+const HARMING = 0.06;
+/** How likely the machines that are down change places with others when a disk is lost. */
+const OVERLAPPING = 0.7;
+/** How likely an empty disk is at the address of the lost one, and not at a new machine's. */
+const SAME_ADDRESS = 0.7;
 
 interface Letter {
   readonly run: () => void;
@@ -26,98 +31,15 @@
   readonly serial: number;
 }
 
-/** A ratebook of the simulation: its disk survives a restart, its grants and owners do not. */
-class SimBook implements VoterLink {
-  readonly disk = new Map<KeyName, RegisterState>();
-  private grants = new Map<KeyName, Grant>();
-  private graceUntil: Instant;
-  private committed = new Map<KeyName, Entry>();
-  private owners: ReadonlyMap<KeyName, KeyOwner>;
-  catchUp: CatchUp;
-  boot = 1;
-
-  constructor(readonly member: RosterMember, private readonly sim: StoreSim) {
-    this.graceUntil = sim.now();
-    this.owners = this.makeOwners();
-    this.catchUp = this.makeCatchUp();
-  }
-
-  voters(): Voters | null {
-    const entry = Roster.newest(this.committedEntry(ROSTER_KEY), this.disk.get(ROSTER_KEY)?.accepted ?? null);
-    return entry === null ? null : { serial: entry.serial, members: (entry.value as Roster).members };
-  }
-
-  owner(key: KeyName): KeyOwner {
-    const owner = this.owners.get(key);
-    if (owner === undefined) throw new Error(`no owner of ${key}`);
-    return owner;
-  }
-
-  learn(key: KeyName, entry: Entry): void {
-    if (entry.serial > (this.committed.get(key)?.serial ?? 0)) this.committed.set(key, entry);
-  }
-
-  committedEntry(key: KeyName): Entry | null {
-    return this.committed.get(key) ?? null;
-  }
-
-  restart(): void {
-    this.boot += 1;
-    this.grants = new Map();
-    this.committed = new Map();
-    this.graceUntil = (this.sim.now() + LEASE_MS) as Instant;
-    this.owners = this.makeOwners();
-    this.catchUp = this.makeCatchUp();
-  }
-
-  ask(voter: RosterMember, key: KeyName, rosterSerial: number, ask: RegisterAsk): Promise<Result<RegisterReply, Defect>> {
-    return this.sim.post(this, voter.id, (target) => target.answer(key, rosterSerial, ask));
-  }
-
-  answer(key: KeyName, rosterSerial: number, ask: RegisterAsk): Result<RegisterReply, Defect> {
-    if (!hasVote(this.voters(), this.member.id, rosterSerial)) return err(new NoVote('on no roster'));
-    if (this.isFenced(key, rosterSerial)) return err(new OldRoster('replaced'));
-    const step = Register.step(this.disk.get(key) ?? Register.empty, this.grants.get(key) ?? null, ask, this.sim.now(), this.graceUntil);
-    if (step.store !== null) this.disk.set(key, step.store);
-    if (step.grant === null) this.grants.delete(key);
-    else this.grants.set(key, step.grant);
-    return ok(step.reply);
-  }
-
-  isSpare(): boolean {
-    const roster = this.disk.get(ROSTER_KEY)?.accepted?.value as Roster | undefined;
-    return roster === undefined || !roster.members.some((member) => member.id === this.member.id);
-  }
-
-  /** Takes over what a majority of the voters holds, as a spare disk does before it votes. */
-  async copyFrom(members: readonly RosterMember[]): Promise<boolean> {
-    const copied = await copyFromMajority(members, (member) => this.sim.post(this, member.id, (target) => ok(new Map(target.disk))));
-    if (copied.isErr()) return false;
-    this.graceUntil = (this.sim.now() + LEASE_MS) as Instant;
-    for (const [key, state] of copied.value) this.disk.set(key, mergedState(this.disk.get(key) ?? Register.empty, state));
-    return true;
-  }
-
-  private isFenced(key: KeyName, rosterSerial: number): boolean {
-    const committedSerial = this.committed.get(ROSTER_KEY)?.serial ?? 0;
-    return isFenced(key, rosterSerial, committedSerial, Math.max(committedSerial, this.disk.get(ROSTER_KEY)?.accepted?.serial ?? 0));
-  }
-
-  private makeCatchUp(): CatchUp {
-    return new CatchUp(this, `${this.member.id}@${this.boot}`, [ROSTER_KEY, MANIFEST_KEY], {
-      accepted: (key) => this.disk.get(key)?.accepted ?? null, committedSerial: (key) => this.committed.get(key)?.serial ?? 0, learn: (key, entry) => this.sim.found(this, key, entry),
-    });
-  }
-
-  private makeOwners(): ReadonlyMap<KeyName, KeyOwner> {
-    const make = (key: KeyName): KeyOwner => new KeyOwner(key, `${this.member.id}@${this.boot}`, this, { now: () => this.sim.now() }, (entry) => this.sim.spread(this, key, entry), () => undefined,
-      key === ROSTER_KEY ? (entry) => (entry.value as Roster).members : undefined);
-    return new Map([MANIFEST_KEY, ROSTER_KEY].map((key) => [key, make(key)]));
-  }
+/** What a run may do: how many disks vote, how many are lost in all, and how often machines go down and miss changes. */
+export interface SimPlan {
+  readonly wipes: number;
+  readonly size?: number;
+  readonly outages?: number;
 }
 
 /** Drives the real owners and registers through random orders of messages, losses, restarts and wiped disks. */
-export class StoreSim {
+export class StoreSim implements SimWorld {
   readonly told: Told[] = [];
   readonly history = new Map<number, unknown>();
   private readonly rosters = new Map<number, unknown>();
@@ -131,11 +53,17 @@
   private readonly letters: Letter[] = [];
   private time = 0;
   private changeCount = 0;
-  private diskCount = SIZE;
+  private diskCount: number;
+  private readonly size: number;
+  private readonly lostAtOnce: number;
   private lostCount = 0;
+  private outageCount = 0;
 
-  constructor(private readonly chance: Chance, private readonly most: { readonly wipes: number }) {
-    this.books = Array.from({ length: SIZE }, (_, index) => new SimBook(this.memberOf(index + 1), this));
+  constructor(private readonly chance: Chance, private readonly most: SimPlan) {
+    this.size = most.size ?? DEFAULT_SIZE;
+    this.diskCount = this.size;
+    this.lostAtOnce = (this.size - 1) / 2;
+    this.books = Array.from({ length: this.size }, (_, index) => new SimBook(this.memberOf(index + 1), this));
     const founding: Entry = { epoch: 1 as Epoch, serial: 1 as Serial, value: { members: this.books.map((book) => book.member) } satisfies Roster, changes: [] };
     this.books.forEach((book) => book.disk.set(ROSTER_KEY, { promised: founding.epoch, holder: 'founding', accepted: founding }));
   }
@@ -144,7 +72,8 @@
     return this.time as Instant;
   }
 
-  post<T>(from: SimBook, to: DiskId, act: (target: SimBook) => Result<T, Defect>): Promise<Result<T, Defect>> {
+  /** Sends a letter to whichever book is at an address when it arrives; one that is down gets none. */
+  post<T>(from: SimBook, to: Address, act: (target: SimBook) => Result<T, Defect>): Promise<Result<T, Defect>> {
     const boot = from.boot;
     return new Promise((settle) => {
       const lost = (): void => settle(err(new LostDefect('lost on the way')));
@@ -153,8 +82,8 @@
       };
       this.letters.push({
         run: () => {
-          const target = this.books.find((book) => book.member.id === to);
-          if (target === undefined) lost();
+          const target = this.books.find((book) => book.member.address === to);
+          if (target === undefined || target.isDown) lost();
           else answer(act(target));
         },
         lose: lost,
@@ -191,6 +120,7 @@
       };
       for (const book of others) {
         const learn = (): void => {
+          if (book.isDown) return hear(false);
           book.learn(key, entry);
           if (key === MANIFEST_KEY) this.knownBy.set(entry.serial, new Set([...(this.knownBy.get(entry.serial) ?? []), book.member.id]));
           this.letters.push({ run: () => hear(true), lose: () => hear(false) });
@@ -202,24 +132,54 @@
 
   /** One random step; `calm` loses nothing and breaks nothing. */
   async step(calm: boolean): Promise<void> {
+    this.time += this.chance.below(STEP_MS);
+    if (this.running.length === 0) this.books.forEach((book) => this.bringBack(book));
+    if (this.letters.length > 0 && this.chance.happens(DELIVERING)) this.deliver(calm);
+    else if (!calm && this.chance.happens(HARMING)) this.harm();
+    else this.act();
+    await new Promise((settle) => { setImmediate(settle); });
+  }
+
+  /** Something that a running book does by itself. */
+  private act(): void {
     const dice = this.chance.next();
-    this.time += this.chance.below(120);
-    const serving = this.books.filter((book) => book.owner(MANIFEST_KEY).serving);
-    if (dice < 0.7 && this.letters.length > 0) this.deliver(calm);
-    else if (dice < 0.8) this.propose(this.chance.of(serving.length > 0 && this.chance.happens(0.9) ? serving : this.books));
-    else if (dice < 0.88) void this.chance.of(this.books).owner(this.chance.happens(0.7) ? MANIFEST_KEY : ROSTER_KEY).takeOver();
-    else if (dice < 0.93) this.renew(this.chance.of(this.books));
-    else if (dice < 0.96) this.tendRoster(this.chance.of(this.books));
-    else if (!calm && dice < 0.967) this.chance.of(this.books).restart();
-    else if (!calm && dice < 0.972) this.time += LEASE_MS;
-    else if (!calm && dice < 0.99) this.wipe();
-    else if (this.chance.happens(0.6)) this.lookAround(this.chance.of(this.books));
+    const book = this.chance.of(this.running);
+    if (dice < 0.35) this.propose();
+    else if (dice < 0.55) this.takeOver(book);
+    else if (dice < 0.75) this.renew(book);
+    else if (dice < 0.85) this.tendRoster(this.servingOr(ROSTER_KEY, book));
+    else if (dice < 0.93) this.lookAround(book);
     else this.gossip();
-    await new Promise((settle) => { setImmediate(settle); });
+  }
+
+  private harm(): void {
+    const dice = this.chance.next();
+    if (dice < 0.2) this.chance.of(this.running).restart();
+    else if (dice < 0.4) this.time += LEASE_MS;
+    else if (dice < 0.7) this.wipe();
+    else this.takeDownOrBack();
+  }
+
+  /** A book that serves the key, mostly, or another. */
+  private servingOr(key: KeyName, other: SimBook): SimBook {
+    const serving = this.running.filter((book) => book.owner(key).serving);
+    return serving.length > 0 && this.chance.happens(0.9) ? this.chance.of(serving) : other;
+  }
+
+  /** Books rarely claim what another serves. */
+  private takeOver(book: SimBook): void {
+    const key = this.chance.happens(0.6) ? MANIFEST_KEY : ROSTER_KEY;
+    const isServed = this.running.some((other) => other.owner(key).serving);
+    if (!isServed || this.chance.happens(0.1)) void book.owner(key).takeOver();
+  }
+
+  private get running(): readonly SimBook[] {
+    return this.books.filter((book) => !book.isDown);
   }
 
   /** Delivers everything until the newest value can be read back through an owner. */
   async readBack(): Promise<Entry | null> {
+    this.books.forEach((book) => this.bringBack(book));
     for (let round = 0; round < 5000; round += 1) {
       await this.step(true);
       if (round % 100 !== 99) continue;
@@ -245,7 +205,8 @@
     else letter?.run();
   }
 
-  private propose(book: SimBook): void {
+  private propose(): void {
+    const book = this.servingOr(MANIFEST_KEY, this.chance.of(this.running));
     this.changeCount += 1;
     const known = book.committedEntry(MANIFEST_KEY)?.serial ?? (0 as Serial);
     const retried = this.told.filter((one) => one.outcome === 'undecided');
@@ -278,32 +239,64 @@
   }
 
   private gossip(): void {
-    const [from, to] = [this.chance.of(this.books), this.chance.of(this.books)];
+    const [from, to] = [this.chance.of(this.running), this.chance.of(this.running)];
     for (const key of [MANIFEST_KEY, ROSTER_KEY]) {
       const entry = from.committedEntry(key);
       if (entry !== null) to.learn(key, entry);
     }
   }
 
-  /** A disk is lost for good; a machine with an empty one takes its place, and is lost only once the roster is whole again. */
+  /** A machine goes down and misses what happens, or all that are down come back. */
+  private takeDownOrBack(): void {
+    const down = this.books.filter((book) => book.isDown);
+    if (down.length > 0 && this.chance.happens(0.5)) return down.forEach((book) => this.bringBack(book));
+    if (this.outageCount >= (this.most.outages ?? 0)) return;
+    this.takeDown(this.chance.of(this.books));
+  }
+
+  /** Those that missed something come back while others that did not go down: outages may overlap without bound, as no disk is lost by them. */
+  private turnAbout(lost: SimBook): void {
+    const down = this.books.filter((book) => book.isDown);
+    const up = this.running.filter((book) => book !== lost);
+    down.forEach((book) => this.bringBack(book));
+    up.filter(() => this.chance.happens(0.7)).forEach((book) => this.takeDown(book));
+  }
+
+  private takeDown(book: SimBook): void {
+    this.outageCount += 1;
+    book.restart();
+    book.isDown = true;
+  }
+
+  private bringBack(book: SimBook): void {
+    if (!book.isDown) return;
+    book.restart();
+    book.isDown = false;
+  }
+
+  /** A disk is lost for good, and an empty one comes in its place or at a new machine; no more are missing at once than the votes bear. */
   private wipe(): void {
     const rosters = this.books.map((book) => book.committedEntry(ROSTER_KEY)).filter((entry) => entry !== null);
     const newest = rosters.sort((one, other) => other.serial - one.serial)[0];
     const members = newest === undefined ? [] : (newest.value as Roster).members;
-    const isWhole = members.length === SIZE && members.every((member) => this.books.some((book) => book.member.id === member.id));
-    if (!isWhole || this.lostCount >= this.most.wipes) return;
+    const missing = this.size - members.filter((member) => this.books.some((book) => book.member.id === member.id)).length;
+    if (missing >= this.lostAtOnce || this.lostCount >= this.most.wipes) return;
     this.lostCount += 1;
     const lost = this.chance.of(this.books);
     this.diskCount += 1;
-    this.books = [...this.books.filter((book) => book !== lost), new SimBook(this.memberOf(this.diskCount), this)];
+    const fresh = this.memberOf(this.diskCount);
+    const address = this.chance.happens(SAME_ADDRESS) ? lost.member.address : fresh.address;
+    lost.restart();
+    if (this.outageCount < (this.most.outages ?? 0) && this.chance.happens(OVERLAPPING)) this.turnAbout(lost);
+    this.books = [...this.books.filter((book) => book !== lost), new SimBook({ ...fresh, address }, this)];
   }
 
   private tendRoster(book: SimBook): void {
     const owner = book.owner(ROSTER_KEY);
     const voters = book.voters();
     if (voters === null || !owner.serving) return;
-    const present: readonly Present[] = this.books.map((one) => ({ identity: { id: one.member.id, isEmpty: false, isSpare: one.isSpare(), voters: null }, member: one.member }));
-    const step = nextRosterStep(voters.members, present, (member) => !this.books.some((one) => one.member.id === member.id), SIZE);
+    const present: readonly Present[] = this.running.map((one) => ({ identity: { id: one.member.id, isEmpty: false, isSpare: one.isSpare(), voters: null }, member: one.member }));
+    const step = nextRosterStep(voters.members, present, (member) => !this.books.some((one) => one.member.id === member.id), this.size);
     if (step === null) return;
     const members = step.kind === 'drop' ? voters.members.filter((member) => member.id !== step.id) : [...voters.members, step.member];
     this.changeCount += 1;
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -11,7 +11,7 @@
 import { KeyOwner, type ChangeDefect } from './keyOwner.js';
 import type { Membership } from './membership.js';
 import type { Frame } from './program.js';
-import { hasVote, isFenced, NoVote, OldRoster, type VoterLink } from './quorum.js';
+import { isFenced, OldRoster, voteDefect, type VoterLink } from './quorum.js';
 import type { RegisterReply } from './register.js';
 import { repeat } from './repeat.js';
 import type { Replica } from './replica.js';
@@ -48,7 +48,7 @@
   private readonly rosterOwner: KeyOwner;
   private readonly rosterKeeper: RosterKeeper;
   private addresses: ReadonlyMap<DiskId, Address> = new Map();
-  private lastHeard: ReadonlyMap<Address, Instant> = new Map();
+  private lastHeard: ReadonlyMap<DiskId, Instant> = new Map();
   private waitUntil: ReadonlyMap<KeyName, Instant> = new Map();
   private isStopping = false;
   private isCatchingUp = false;
@@ -65,7 +65,7 @@
     this.catchUp = new CatchUp(this, holder, OWNED_KEYS, { accepted: (key) => replica.accepted(key), committedSerial: (key) => this.serialOf(key), learn: (key, entry) => this.learn({ key, entry }) });
     frame.stalls.onStall(() => this.fallBehind());
     this.rosterOwner = this.owners.get(ROSTER_KEY) as KeyOwner;
-    this.rosterKeeper = new RosterKeeper(this.rosterOwner, () => this.voters(), (spare, members) => this.copyTo(spare, members), frame.clock, rules.size, rules.replaceAfterMs);
+    this.rosterKeeper = new RosterKeeper(this.rosterOwner, () => this.voters(), (spare, members) => this.store.copy(spare, members), frame.clock, rules.size, rules.replaceAfterMs);
     const owners = this.owners;
     new Gauge({ name: 'opalstair_key_owned', help: '1 when this ratebook owns the key', labelNames: ['key'], registers, collect() { owners.forEach((owner, key) => this.set({ key }, owner.serving ? 1 : 0)); } });
     new Gauge({ name: 'opalstair_key_epoch', help: 'The epoch that this replica has promised', labelNames: ['key'], registers, collect() { replica.keys().forEach((key) => this.set({ key }, replica.promised(key).promised)); } });
@@ -96,9 +96,10 @@
   }
 
   async ask(voter: RosterMember, key: KeyName, rosterSerial: number, ask: AskMessage['ask']): Promise<Result<RegisterReply, Defect>> {
-    if (voter.id === this.replica.id) return this.askHere({ key, rosterSerial, ask });
-    const answer = await this.store.ask(voter.address, { key, rosterSerial, ask }, ask.kind === 'inquire' || ask.kind === 'show' ? INQUIRE_MS : ASK_MS);
-    if (answer.isOk()) this.lastHeard = new Map([...this.lastHeard, [voter.address, this.frame.clock.now()]]);
+    const message: AskMessage = { key, disk: voter.id, rosterSerial, ask };
+    if (voter.id === this.replica.id) return this.askHere(message);
+    const answer = await this.store.ask(voter.address, message, ask.kind === 'inquire' || ask.kind === 'show' ? INQUIRE_MS : ASK_MS);
+    if (answer.isOk()) this.lastHeard = new Map([...this.lastHeard, [voter.id, this.frame.clock.now()]]);
     return answer;
   }
 
@@ -134,18 +135,15 @@
 
   /** Readies this spare disk for a vote: takes over what a majority of the voters holds. */
   async copyFrom(message: CopyMessage): Promise<CopyAnswer> {
+    if (message.disk !== undefined && message.disk !== this.replica.id) return { copied: false, detail: `disk ${message.disk} is meant, this is ${this.replica.id}` };
     if (!this.replica.isSpare) return { copied: false, detail: 'this disk has had a vote' };
-    const copied = await copyFromMajority(message.members, (member) => Promise.resolve(this.store.dump(member.address)));
+    const copied = await copyFromMajority(message.members, (member) => this.store.dump(member));
     const adopted: Result<void, Defect> = copied.isErr() ? err(copied.error) : await this.replica.adopt(copied.value, GRACE_MS);
     return adopted.match<CopyAnswer>(() => ({ copied: true, detail: '' }), (defect) => ({ copied: false, detail: defect.describe() }));
   }
 
-  private async copyTo(spare: RosterMember, members: readonly RosterMember[]): Promise<Result<CopyAnswer, Defect>> {
-    return this.store.copy(spare.address, { members });
-  }
-
   dump(): DumpAnswer {
-    return { states: [...this.replica.dump()].map(([key, state]) => ({ key, state })) };
+    return { disk: this.replica.id, states: [...this.replica.dump()].map(([key, state]) => ({ key, state })) };
   }
 
   /** Another ratebook tells of a committed version. */
@@ -177,7 +175,8 @@
   }
 
   private async askHere(message: AskMessage): Promise<Result<RegisterReply, Defect>> {
-    if (!hasVote(this.voters(), this.replica.id, message.rosterSerial)) return err(new NoVote('this disk is on no roster that it knows of'));
+    const noVote = voteDefect(this.replica.id, this.voters(), message);
+    if (noVote !== null) return err(noVote);
     const known = Math.max(this.serialOf(ROSTER_KEY), this.replica.accepted(ROSTER_KEY)?.serial ?? 0);
     if (isFenced(message.key, message.rosterSerial, this.serialOf(ROSTER_KEY), known)) return err(new OldRoster(`roster ${message.rosterSerial} was replaced by ${known}`));
     const answer = await this.replica.ask(message.key, message.ask);
@@ -218,7 +217,7 @@
     const voters = this.voters();
     if (voters === null) return false;
     const now = this.frame.clock.now();
-    const heard = voters.members.filter((member) => member.id === this.replica.id || now - (this.lastHeard.get(member.address) ?? -Infinity) < HEARD_MS);
+    const heard = voters.members.filter((member) => member.id === this.replica.id || now - (this.lastHeard.get(member.id) ?? -Infinity) < HEARD_MS);
     return heard.length > voters.members.length / 2;
   }
 
@@ -287,7 +286,7 @@
     const present = met.flat();
     if (!this.hearsMajority()) this.fallBehind();
     const now = this.frame.clock.now();
-    this.lastHeard = new Map([...this.lastHeard, ...present.map(({ member }) => [member.wire, now] as const)]);
+    this.lastHeard = new Map([...this.lastHeard, ...present.map(({ id }) => [id, now] as const)]);
     this.addresses = new Map([...this.addresses, ...present.map(({ id, member }) => [id, member.wire] as const)]);
     this.rosterKeeper.meet(present.map(({ member, ...identity }) => ({ identity, member: { id: identity.id, address: member.wire } })));
     if (this.voters() !== null) return this.tendRoster();
--- a/src/process/quorum.ts
+++ b/src/process/quorum.ts
@@ -22,12 +22,25 @@
   readonly kind = 'no-vote';
 }
 
+/** What an ask says of itself: the disk that it is meant for and the roster that it was made under. */
+export interface AskScope {
+  /** Absent in asks of the former release. */
+  readonly disk?: DiskId;
+  readonly rosterSerial: number;
+}
+
 /**
- * Whether a disk may answer an ask made under a roster: when the newest roster that it knows names it, or when the
- * asker's is later still, for only those whom it names are asked. A disk not yet founded answers nobody.
+ * Why a disk must not answer an ask; null when it may. A vote belongs to a disk, never to an address: an empty disk in the
+ * place of a lost one has promised and accepted nothing of what the lost one did. A disk that knows no roster was not
+ * founded or not admitted yet. Otherwise it votes when the newest roster that it knows names it, or when the asker's
+ * is later still, for only those whom it names are asked.
  */
-export const hasVote = (voters: Voters | null, id: DiskId, askedSerial: number): boolean =>
-  askedSerial > Math.max(1, voters?.serial ?? 0) || (voters !== null && voters.members.some((member) => member.id === id));
+export const voteDefect = (own: DiskId, known: Voters | null, { disk, rosterSerial }: AskScope): NoVote | null => {
+  if (disk !== undefined && disk !== own) return new NoVote(`disk ${disk} is asked, this is ${own}`);
+  if (known === null) return new NoVote('this disk knows of no roster');
+  const isNamed = known.members.some((member) => member.id === own);
+  return isNamed || rosterSerial > known.serial ? null : new NoVote('this disk is on no roster that it knows of');
+};
 
 /**
  * Whether a replica must not answer an ask made under this roster. The roster's own key is fenced by what is
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'uvu/assert';
 import { Chance } from '../src/fleet/chance.js';
-import { StoreSim } from '../src/fleet/storeSim.js';
+import { StoreSim, type SimPlan } from '../src/fleet/storeSim.js';
 import { err, ok } from 'neverthrow';
 import type { Address, ChangeId, DiskId, Epoch, Instant, KeyName, Serial } from '../src/process/brands.js';
 import { CatchUp } from '../src/process/catchUp.js';
@@ -13,11 +13,11 @@
 import { suite } from './harness.js';
 
 const { test, run } = suite('register');
-const SEEDS = 1000;
-const STEPS = 800;
+const SEEDS = Number(process.env['SEEDS'] ?? 1000);
+const STEPS = 2000;
 
-const drive = async (seed: number, wipes: number): Promise<StoreSim> => {
-  const sim = new StoreSim(new Chance(seed), { wipes });
+const drive = async (seed: number, plan: SimPlan): Promise<StoreSim> => {
+  const sim = new StoreSim(new Chance(seed), plan);
   for (let count = 0; count < STEPS; count += 1) await sim.step(false);
   const last = await sim.readBack();
   const acknowledged = sim.told.filter((one) => one.outcome === 'acknowledged');
@@ -37,14 +37,15 @@
   return sim;
 };
 
-for (const wipes of [0, 6]) {
-  test(`${SEEDS} seeded runs with losses, restarts and ${wipes} lost disks keep one acknowledged history`, async () => {
+// Guards against the vote of an empty disk in the name of the lost one whose address it has.
+for (const [size, wipes, outages] of [[3, 0, 0], [3, 6, 0], [3, 4, 12], [5, 6, 12]] as const) {
+  test(`${SEEDS} seeded runs of ${size} disks with losses, restarts, ${wipes} lost disks and ${outages} outages keep one acknowledged history`, async () => {
     let acknowledged = 0;
     let undecided = 0;
     let found = 0;
     let caughtUp = 0;
     for (let seed = 1; seed <= SEEDS; seed += 1) {
-      const sim = await drive(seed, wipes);
+      const sim = await drive(seed, { size, wipes, outages });
       assert.equal(sim.faults, [], `seed ${seed}`);
       acknowledged += sim.told.filter((one) => one.outcome === 'acknowledged').length;
       found += sim.foundCount;
