Keep every acknowledged departure, so that late heartbeats revive no endpoint

Cause: the departure of an endpoint that the host had forgotten, or a restarted host never knew, was an error inside that the platform's door answered with 200; nothing was noted, nobody told. The same for draining after a silence or a restart. Ruled out: the order of heartbeats (compared while the endpoint is known) and the directories (they refuse what departed, but were not told).

Why this works: the host keeps who leaves or left for 60 s, known or not, and reports both; directories list a leaving one as leaving whatever a later boot says, and tell that boot. What can't be kept (over 10,000) gets 503. An id that no report could carry is refused with 400: it would have stopped all reports of its host.

A sign-off of an unknown instance now gets 200 at the product's own door as well (404 before).

--- a/src/connection/beatDoor.ts
+++ b/src/connection/beatDoor.ts
@@ -5,9 +5,10 @@
 import type { Announcement, LocalEndpoints } from '../process/localEndpoints.js';
 import { problem } from './operators.js';
 
-const name = Joi.string().pattern(/^[A-Za-z0-9._-]{1,64}$/, 'name').required();
+/** The names of endpoints, instances, services and zones. */
+export const nameShape = Joi.string().pattern(/^[A-Za-z0-9._-]{1,64}$/, 'name').required();
 export const announcementShape = Joi.object({
-  service: name, instance: name, zone: name,
+  service: nameShape, instance: nameShape, zone: nameShape,
   address: Joi.string().pattern(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'ip:port').required(),
   probe: Joi.string().pattern(/^\//, 'path').max(256).default('/'),
   slots: Joi.number().integer().min(1).max(120).default(9),
@@ -29,7 +30,7 @@
 export const beatApp = (desk: BeatDesk): Hono<{ Bindings: HttpBindings }> => {
   const app = new Hono<{ Bindings: HttpBindings }>();
   const isOwn = (host: string | undefined): boolean => host !== undefined && desk.ownHosts.includes(host.replace(/^::ffff:/, ''));
-  const turnAway = (context: Context, status: 400 | 404 | 409, id: string, reason: string, detail: string): Response => {
+  const turnAway = (context: Context, status: 400 | 409 | 503, id: string, reason: string, detail: string): Response => {
     desk.turnedAway(id, `${reason}: ${detail}`);
     return problem(context, status, reason, detail);
   };
@@ -44,18 +45,19 @@
     const id = context.req.param('id') as EndpointId;
     const body: unknown = await context.req.json().catch(() => null);
     const checked = announcementShape.validate(body, { convert: false });
-    if (checked.error !== undefined || name.validate(id).error !== undefined) return turnAway(context, 400, id, 'bad-announcement', checked.error?.message ?? 'bad endpoint id');
+    if (checked.error !== undefined || nameShape.validate(id).error !== undefined) return turnAway(context, 400, id, 'bad-announcement', checked.error?.message ?? 'bad endpoint id');
     const said = { ...(checked.value as Omit<Announcement, 'id'>), id };
     if (!isOwn(Address.host(said.address))) return turnAway(context, 400, id, 'foreign-address', `${said.address} is not on this machine`);
     const answer = desk.endpoints.beat(said);
-    return answer.match((found) => context.json(found), (defect) => turnAway(context, 409, id, defect.kind, defect.detail));
+    return answer.match((found) => context.json(found), (defect) => turnAway(context, defect.kind === 'departed' ? 409 : 503, id, defect.kind, defect.detail));
   });
   app.delete('/v1/endpoints/:id', async (context) => {
     desk.checkStall();
     const id = context.req.param('id') as EndpointId;
-    const instance = (context.req.query('instance') ?? '') as InstanceId;
-    const left = await desk.endpoints.signOff(id, instance);
-    return left.match(() => context.json({ left: true }), (defect) => turnAway(context, 404, id, defect.kind, defect.detail));
+    const instance = context.req.query('instance');
+    if (nameShape.validate(instance).error !== undefined || nameShape.validate(id).error !== undefined) return turnAway(context, 400, id, 'bad-announcement', 'bad endpoint id or instance');
+    const left = await desk.endpoints.signOff(id, instance as InstanceId);
+    return left.match(() => context.json({ left: true }), (defect) => turnAway(context, 503, id, defect.kind, defect.detail));
   });
   return app;
 };
--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -62,20 +62,23 @@
   readonly changed?: number;
   /** Instances that signed off lately: whatever anybody says, they are not listed again. */
   readonly departed?: readonly InstanceId[];
+  /** Instances that lately said that they leave: whatever a later boot of this host says, they take no new request. */
+  readonly leaving?: readonly InstanceId[];
   /** The mark of the list that this node holds. */
   readonly mark?: string;
 }
 export const nodeReportShape = Joi.object({
   node: text, boot: text, life: Joi.number().required(), sequence: whole, zone: text, hop: text, manifest: whole, rows: Joi.array().items(endpointRowShape).max(10_000).required(),
-  changed: Joi.number().integer().min(0), departed: Joi.array().items(item).max(10_000), mark: Joi.string().allow('').max(64),
+  changed: Joi.number().integer().min(0), departed: Joi.array().items(item).max(10_000), leaving: Joi.array().items(item).max(10_000), mark: Joi.string().allow('').max(64),
 });
 
-/** What a host should know of its report: a later boot's word stands above it, or it names instances that have departed. */
+/** What a host should know of its report: a later boot's word stands above it, or it names instances that have departed or leave. */
 export interface ReportAnswer {
   readonly above?: number;
   readonly departed?: readonly InstanceId[];
+  readonly leaving?: readonly InstanceId[];
 }
-export const reportAnswerShape = Joi.object({ above: Joi.number().min(0), departed: Joi.array().items(item) });
+export const reportAnswerShape = Joi.object({ above: Joi.number().min(0), departed: Joi.array().items(item), leaving: Joi.array().items(item) });
 
 /** The totals of one caller for one endpoint since the caller's boot, and its latest outcomes by age. */
 export interface OutcomeRow {
--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -4,6 +4,8 @@
 import type { Address, EndpointId, InstanceId, Instant, ServiceName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
 import { Defect } from './defect.js';
+import { Departures, type TooManyDepartures } from './departures.js';
+import { RequestTimes } from './requestTimes.js';
 
 /**
  * A beat proves that the endpoint was there when the nonce that it echoes was given out; no order starts later than
@@ -12,24 +14,14 @@
 export const PROOF_MS = 1700;
 const NONCES_KEPT = 4;
 const LAPSE_MS = 3000;
-const DEPARTED_KEPT_MS = 60_000;
 const QUEUE_PER_SLOT = 4;
-/** How much of the mean time of an endpoint's requests the latest one is. */
-const LATEST_PART = 0.1;
 /** An endpoint that is its own fence stays listed through this much silence: what is sent to a later holder of its address it turns away. */
 const FENCED_SILENCE_MS = 6000;
 const REFUSED_MOST = 2;
-/** A kind of request that takes less than this part of the longest lately asked for is small: refusing it saves next to nothing. */
-const SMALL_PART = 0.6;
-/** A kind that nobody asked for in this time is no measure of the others. */
-const KIND_FRESH_MS = 10_000;
 /** By how much one step of priority counts against the time that a request takes. */
 const PRIORITY_STEP = 2;
-const MOST_KINDS = 1000;
-/** A request whose caller gives it less than this part of what callers of its kind lately gave was refused before and has come back. */
-const AGAIN_PART = 0.97;
 /** It goes after those that are new: what is served at the second try earns less, and whoever waits longest is worth least. */
-const AGAIN_STEP = 4;
+const RETRIED_STEP = 4;
 
 /** What an endpoint says of itself in each beat. */
 export interface Announcement {
@@ -59,9 +51,6 @@
 export class Departed extends Defect {
   readonly kind = 'departed';
 }
-export class UnknownEndpoint extends Defect {
-  readonly kind = 'unknown-endpoint';
-}
 
 interface Waiter {
   readonly rank: number;
@@ -69,15 +58,6 @@
   readonly meanMs: number;
   readonly wake: (isFree: boolean) => void;
 }
-/** What is known of one kind of request at one endpoint. */
-interface Kind {
-  /** 0 before the first was served. */
-  meanMs: number;
-  askedAt: Instant;
-  /** The most time that callers lately gave one, and when. */
-  givenMs: number;
-  givenAt: Instant;
-}
 interface Nonce {
   readonly nonce: string;
   readonly givenAt: Instant;
@@ -92,9 +72,8 @@
   /** By rank, then as they came. */
   waiters: readonly Waiter[];
   ended: readonly (() => void)[];
-  /** How long its requests lately took, in milliseconds; 0 before the first. */
-  meanMs: number;
-  readonly kinds: Map<string, Kind>;
+  /** How long its requests lately took, by kind. */
+  readonly times: RequestTimes;
   /** Connections refused in a row. */
   refused: number;
 }
@@ -132,12 +111,14 @@
  */
 export class LocalEndpoints {
   private readonly standing = new Map<EndpointId, Standing>();
-  private departed: ReadonlyMap<InstanceId, Instant> = new Map();
+  private readonly departures: Departures;
 
-  constructor(private readonly clock: Clock, private readonly onChange: () => void, private readonly onRemoved: (said: Announcement) => void = () => undefined, private readonly backlog = 0) {}
+  constructor(private readonly clock: Clock, private readonly onChange: () => void, private readonly onRemoved: (said: Announcement) => void = () => undefined, private readonly backlog = 0) {
+    this.departures = new Departures(clock);
+  }
 
-  beat(said: Announcement): Result<BeatAnswer, Departed> {
-    if (this.departed.has(said.instance)) return err(new Departed(`instance ${said.instance} has signed off`));
+  beat(said: Announcement): Result<BeatAnswer, Departed | TooManyDepartures> {
+    if (this.departures.hasDeparted(said.instance)) return err(new Departed(`instance ${said.instance} has signed off`));
     const now = this.clock.now();
     for (const [id, other] of this.standing) {
       if (id !== said.id && other.said.address === said.address) this.remove(id);
@@ -146,12 +127,16 @@
     if (known !== undefined && known.said.instance === said.instance && said.sequence !== null && said.sequence <= (known.said.sequence ?? -2)) {
       return ok({ nonce: '', counted: false, leaving: known.leaving, running: known.running });
     }
+    if (said.leaving) {
+      const noted = this.departures.noteLeaving(said.instance);
+      if (noted.isErr()) return err(noted.error);
+    }
     const isSame = known !== undefined && known.said.instance === said.instance && known.said.service === said.service && known.said.address === said.address;
     if (known !== undefined && !isSame) this.remove(said.id);
-    const spot: Standing = isSame ? known : { said, provenAt: -Infinity as Instant, given: [], leaving: false, running: 0, waiters: [], ended: [], meanMs: 0, kinds: new Map(), refused: 0 };
+    const spot: Standing = isSame ? known : { said, provenAt: -Infinity as Instant, given: [], leaving: false, running: 0, waiters: [], ended: [], times: new RequestTimes(this.clock), refused: 0 };
     const before = this.view(spot, now);
     spot.said = said;
-    spot.leaving = spot.leaving || said.leaving;
+    spot.leaving = spot.leaving || this.departures.isLeaving(said.instance);
     const echoed = spot.given.find((one) => one.nonce === said.nonce);
     const counted = said.fenced || (echoed !== undefined && now - echoed.givenAt <= PROOF_MS);
     if (said.fenced) {
@@ -182,37 +167,49 @@
     this.onChange();
   }
 
-  /** Takes no new order from now on; resolves once the running ones have ended, or the time is up. */
-  async signOff(id: EndpointId, instance: InstanceId, mostMs = Infinity): Promise<Result<void, UnknownEndpoint>> {
-    const spot = this.standing.get(id);
-    if (this.departed.has(instance)) return ok(undefined);
-    if (spot === undefined || spot.said.instance !== instance) return err(new UnknownEndpoint(`${id} of instance ${instance} is not here`));
-    spot.leaving = true;
-    this.turnWaitersAway(spot);
-    this.onChange();
-    if (spot.running > 0) {
-      await new Promise<void>((settle) => {
-        spot.ended = [...spot.ended, settle];
-        if (mostMs !== Infinity) setTimeout(settle, mostMs).unref();
-      });
+  /**
+   * Takes no new order of an instance from now on, known here or not: its earlier beats may still come. Resolves once the
+   * running ones have ended, or the time is up. A departure that can't be kept is an error, not an acknowledgement.
+   */
+  async signOff(id: EndpointId, instance: InstanceId, mostMs = Infinity): Promise<Result<void, TooManyDepartures>> {
+    if (this.departures.hasDeparted(instance)) return ok(undefined);
+    const found = this.standing.get(id);
+    const spot = found?.said.instance === instance ? found : undefined;
+    if (spot !== undefined) {
+      const leaving = this.markLeaving(spot);
+      if (leaving.isErr()) return leaving;
+      this.onChange();
+      await this.runningEnded(spot, mostMs);
     }
-    this.departed = new Map([...[...this.departed].filter(([, at]) => this.clock.now() - at < DEPARTED_KEPT_MS), [instance, this.clock.now()]]);
-    if (this.standing.get(id) === spot) this.remove(id);
+    const departed = this.departures.noteDeparted(instance);
+    if (departed.isErr()) return departed;
+    if (spot !== undefined && this.standing.get(id) === spot) this.remove(id);
+    else this.onChange();
     return ok(undefined);
   }
 
   /** Instances that signed off here lately. */
   departedLately(): readonly InstanceId[] {
-    const now = this.clock.now();
-    return [...this.departed].filter(([, at]) => now - at < DEPARTED_KEPT_MS).map(([instance]) => instance);
+    return this.departures.departed();
+  }
+
+  /** Instances that lately said that they leave, and have not signed off yet. */
+  leavingLately(): readonly InstanceId[] {
+    return this.departures.leaving();
   }
 
   /** Others know that these signed off, at an earlier boot of this switchboard perhaps: they are no longer here. */
   endDeparted(instances: readonly InstanceId[]): void {
-    const now = this.clock.now();
-    const ended = [...this.standing].filter(([, spot]) => instances.includes(spot.said.instance));
-    this.departed = new Map([...this.departed, ...ended.map(([, spot]) => [spot.said.instance, now] as const)]);
-    ended.forEach(([id]) => this.remove(id));
+    for (const [id, spot] of this.standing) {
+      if (instances.includes(spot.said.instance) && this.departures.noteDeparted(spot.said.instance).isOk()) this.remove(id);
+    }
+  }
+
+  /** Others know that these said they leave, at an earlier boot of this switchboard perhaps: they take no new order. */
+  keepLeaving(instances: readonly InstanceId[]): void {
+    const spots = [...this.standing.values()].filter((spot) => !spot.leaving && instances.includes(spot.said.instance));
+    const marked = spots.filter((spot) => this.markLeaving(spot).isOk());
+    if (marked.length > 0) this.onChange();
   }
 
   /** All leave: the machine's switchboard stops. */
@@ -240,7 +237,7 @@
 
   load(id: EndpointId): Load {
     const spot = this.standing.get(id);
-    return spot === undefined ? { running: 0, waiting: 0, slots: 0, meanMs: 0 } : { running: spot.running, waiting: spot.waiters.length, slots: spot.said.slots, meanMs: Math.round(spot.meanMs * 10) / 10 };
+    return spot === undefined ? { running: 0, waiting: 0, slots: 0, meanMs: 0 } : { running: spot.running, waiting: spot.waiters.length, slots: spot.said.slots, meanMs: Math.round(spot.times.meanMs * 10) / 10 };
   }
 
   /**
@@ -251,12 +248,12 @@
     const fault = this.faultOf(wanted);
     if (fault !== null) return err(fault);
     const spot = this.standing.get(wanted.endpoint) as Standing;
-    const kind = this.kindOf(spot, waiting.kind);
-    const isAgain = this.isAgain(kind, waiting.givenMs);
+    const kind = spot.times.kindOf(waiting.kind);
+    const isRetried = spot.times.isRetried(kind, waiting.givenMs);
     if (spot.running >= spot.said.slots + this.backlog) {
-      const kindMs = kind.meanMs > 0 ? kind.meanMs : spot.meanMs;
-      const isSmall = this.isSmall(spot, kind);
-      const rank = kindMs * PRIORITY_STEP ** waiting.priority * (isAgain && !isSmall ? AGAIN_STEP : 1);
+      const kindMs = kind.meanMs > 0 ? kind.meanMs : spot.times.meanMs;
+      const isSmall = spot.times.isSmall(kind);
+      const rank = kindMs * PRIORITY_STEP ** waiting.priority * (isRetried && !isSmall ? RETRIED_STEP : 1);
       const mostMs = isSmall ? waiting.mostMsIfSmall ?? waiting.mostMs : waiting.mostMs;
       if (spot.waiters.length >= spot.said.slots * QUEUE_PER_SLOT || mostMs <= 0 || this.expectedWaitMs(spot, rank) > mostMs) return err('full');
       if (!(await this.waitTurn(spot, rank, kindMs, mostMs))) return err(this.faultOf(wanted) ?? 'full');
@@ -268,7 +265,7 @@
       return err(late);
     }
     return ok({ address: spot.said.address, recheck: () => this.faultOf(wanted), leave: (tookMs) => {
-      if (tookMs !== undefined) LocalEndpoints.learn(spot, kind, tookMs);
+      if (tookMs !== undefined) spot.times.learn(kind, tookMs);
       this.leave(spot);
     } });
   }
@@ -290,51 +287,11 @@
     return this.isProven(spot, this.clock.now()) ? null : 'stale-beat';
   }
 
-  private static learn(spot: Standing, kind: Kind, tookMs: number): void {
-    const moved = (meanMs: number): number => (meanMs === 0 ? tookMs : meanMs + LATEST_PART * (tookMs - meanMs));
-    spot.meanMs = moved(spot.meanMs);
-    kind.meanMs = moved(kind.meanMs);
-  }
-
-  /** The account of a kind of request; whoever asks for it keeps it fresh. */
-  private kindOf(spot: Standing, name = ''): Kind {
-    const now = this.clock.now();
-    const known = spot.kinds.get(name);
-    if (known !== undefined) {
-      known.askedAt = now;
-      return known;
-    }
-    if (spot.kinds.size >= MOST_KINDS) spot.kinds.clear();
-    const fresh: Kind = { meanMs: 0, askedAt: now, givenMs: 0, givenAt: now };
-    spot.kinds.set(name, fresh);
-    return fresh;
-  }
-
-  private isAgain(kind: Kind, givenMs: number | undefined): boolean {
-    if (givenMs === undefined) return false;
-    const now = this.clock.now();
-    const isLess = givenMs < AGAIN_PART * kind.givenMs && now - kind.givenAt < KIND_FRESH_MS;
-    if (!isLess) {
-      kind.givenMs = givenMs;
-      kind.givenAt = now;
-    }
-    return isLess;
-  }
-
-  /** Whether a kind takes much less than the longest that is lately asked for here, served or refused. */
-  private isSmall(spot: Standing, kind: Kind): boolean {
-    if (kind.meanMs === 0) return false;
-    const now = this.clock.now();
-    let longestMs = 0;
-    for (const other of spot.kinds.values()) if (now - other.askedAt < KIND_FRESH_MS) longestMs = Math.max(longestMs, other.meanMs);
-    return kind.meanMs < SMALL_PART * longestMs;
-  }
-
   /** How long a request of this rank would wait: the next seat comes free soon, and those ahead go first. */
   private expectedWaitMs(spot: Standing, rank: number): number {
     const { slots } = spot.said;
     const aheadMs = spot.waiters.reduce((sum, waiter) => (waiter.rank <= rank ? sum + waiter.meanMs : sum), 0);
-    return aheadMs / slots + spot.meanMs / (slots + 1);
+    return aheadMs / slots + spot.times.meanMs / (slots + 1);
   }
 
   private waitTurn(spot: Standing, rank: number, meanMs: number, mostMs: number): Promise<boolean> {
@@ -370,6 +327,21 @@
     spot.waiters.forEach((waiter) => waiter.wake(false));
   }
 
+  private markLeaving(spot: Standing): Result<void, TooManyDepartures> {
+    return this.departures.noteLeaving(spot.said.instance).map(() => {
+      spot.leaving = true;
+      this.turnWaitersAway(spot);
+    });
+  }
+
+  private runningEnded(spot: Standing, mostMs: number): Promise<void> {
+    if (spot.running === 0) return Promise.resolve();
+    return new Promise((settle) => {
+      spot.ended = [...spot.ended, settle];
+      if (mostMs !== Infinity) setTimeout(settle, mostMs).unref();
+    });
+  }
+
   private remove(id: EndpointId): void {
     const spot = this.standing.get(id);
     if (spot === undefined) return;
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -41,6 +41,7 @@
   private readonly roseAt = new Map<NodeName, Instant>();
   private readonly reportedAt = new Map<NodeName, Instant>();
   private readonly departedAt = new Map<InstanceId, Instant>();
+  private readonly leavingAt = new Map<InstanceId, Instant>();
   private readonly hadRows = new Set<NodeName>();
   private unconfirmed: ReadonlySet<NodeName> = new Set();
   private serial = 0;
@@ -59,7 +60,9 @@
 
   /** Takes a report unless a later one of that node was heard; whether it changed the list. */
   hear(report: NodeReport): boolean {
-    const { node, boot, life, sequence, manifest, rows } = report;
+    const { node, boot, life, sequence, manifest } = report;
+    report.leaving?.forEach((instance) => this.leavingAt.set(instance, this.clock.now()));
+    const rows = report.rows.map((row) => (this.isRevived(row) ? { ...row, leaving: true } : row));
     const known = this.list.word(node);
     const canNotRise = report.changed === undefined && known !== undefined && known.boot !== boot && this.isSilent(node);
     if (canNotRise) this.list = this.list.forget([node], []);
@@ -73,7 +76,13 @@
     const known = this.list.word(report.node);
     const isBelow = known !== undefined && known.boot !== report.boot && known.life >= report.life;
     const departed = report.rows.filter((row) => this.list.hasDeparted(row.instance)).map((row) => row.instance);
-    return { ...(isBelow ? { above: known.life } : {}), ...(departed.length > 0 ? { departed } : {}) };
+    const leaving = report.rows.filter((row) => this.isRevived(row)).map((row) => row.instance);
+    return { ...(isBelow ? { above: known.life } : {}), ...(departed.length > 0 ? { departed } : {}), ...(leaving.length > 0 ? { leaving } : {}) };
+  }
+
+  /** An endpoint that said that it leaves, and is listed as ready by a host that forgot it. */
+  private isRevived(row: EndpointRow): boolean {
+    return !row.leaving && this.leavingAt.has(row.instance);
   }
 
   /** Unlists the endpoints of nodes that fell silent, unless most are no longer heard: then it is this directory that is cut off. Reports come at different moments, so half of the lapse tells. */
@@ -219,6 +228,7 @@
     this.list = this.list.forget(nodes, departed);
     nodes.forEach((node) => [this.roseAt, this.reportedAt, this.hadRows].forEach((table) => table.delete(node)));
     departed.forEach((instance) => this.departedAt.delete(instance));
+    for (const [instance, at] of this.leavingAt) if (now - at > MARKS_KEPT_MS) this.leavingAt.delete(instance);
   }
 
   /** Windows open and close with time alone: their marks are looked at once a second. */
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -70,8 +70,9 @@
     const rows: readonly EndpointRow[] = this.hasEnded ? [] : this.endpoints.listed().map(({ id, service, instance, address, zone, slots, leaving }) =>
       ({ id, service, instance, address, zone, slots, leaving: leaving || this.isClosing, node: settings.node, nodeBoot: boot, hop }));
     const departed = this.endpoints.departedLately();
+    const leaving = this.endpoints.leavingLately();
     const report: NodeReport = {
-      node: settings.node, boot, ...this.voice.say(rows), zone: settings.zone, hop, manifest: this.serialNow(), rows, mark: this.markNow(), ...(departed.length > 0 ? { departed } : {}),
+      node: settings.node, boot, ...this.voice.say(rows), zone: settings.zone, hop, manifest: this.serialNow(), rows, mark: this.markNow(), ...(departed.length > 0 ? { departed } : {}), ...(leaving.length > 0 ? { leaving } : {}),
     };
     await Promise.all(this.membership.having('directory').map(async ({ wire }) => {
       const answer: Result<ReportAnswer, WireDefect> = await this.wire.call<ReportAnswer>(wire, NodePath.report, report, TELL_MS, reportAnswerShape);
@@ -103,6 +104,7 @@
       this.frame.log.warn({ event: 'departed-refused', instances: advice.departed });
       this.endpoints.endDeparted(advice.departed);
     }
+    if (advice.leaving !== undefined) this.endpoints.keepLeaving(advice.leaving);
     if (this.voice.hear(advice)) this.changed();
   }
 }
--- a/test/nearness.test.ts
+++ b/test/nearness.test.ts
@@ -99,7 +99,7 @@
   const successes = [rowFor('merged'), rowFor('fresh'), rowFor('orphaned')];
   const book = { report: (which: string) => (which === 'changed' ? successes : which === 'failing' ? [rowFor('failed')] : []) } as unknown as OutcomeBook;
   const merger = new Map([['merged', 'far'], ['orphaned', 'gone'], ['failed', 'far']]);
-  const endpoints = { listed: () => [], departedLately: () => [] } as unknown as LocalEndpoints;
+  const endpoints = { listed: () => [], departedLately: () => [], leavingLately: () => [] } as unknown as LocalEndpoints;
   const reporter = new Reporter(frameAt({ at: 0 }), membership, wire, endpoints, book, () => 1 as Serial, () => '', (service) => (merger.get(service) ?? null) as NodeName | null);
   const toldOf = (address: Address): ReadonlySet<string> => new Set(sent.filter((one) => one.address === address && one.path === NodePath.outcomes).flatMap(({ message }) => (message as OutcomeReport).rows.map(({ service }) => service)));
   const keepAlive = setInterval(() => undefined, 1000);
