Refuse health paths that can't be asked for; a request that can't be written ends alone

Cause: the check asked for a leading slash only; Node's client throws at a path with a blank, in the exchange's promise, which nobody waited for, and Node ends a process at an unhandled rejection.

Now such a path is a fault of the configuration, a request that Node can't write is NoConnection (nothing was sent), and a rejection that nobody waits for is logged and counted. A header named __proto__ goes along like any other. Line breaks of a fault's text are joined in linear time.

--- a/src/connection/endpointExchange.ts
+++ b/src/connection/endpointExchange.ts
@@ -1,6 +1,6 @@
-import { request, type Agent, type IncomingMessage } from 'node:http';
+import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { err, ok, Result, ResultAsync } from 'neverthrow';
 import { Defect } from '../process/defect.js';
 import { HeaderText, type TurnAwayCause, type WholeAnswer } from './hopCalls.js';
 import { EndpointLinks } from './endpointLinks.js';
@@ -83,14 +83,19 @@
   return ok({ status, headers: HeaderText.of(answer.rawHeaders), body });
 };
 
+/** What can't be written as a request is not sent: Node's client throws at once. */
+const openRequest = Result.fromThrowable((order: EndpointOrder): ClientRequest => request({
+  method: order.method, path: order.url, headers: Headers.toRecord(order.headers) as never, setHost: false, insecureHTTPParser: false, maxHeaderSize: 32 * 1024, agent: order.agent,
+}), (error) => new NoConnection('the request can\'t be written', error));
+
 const exchange = (order: EndpointOrder): Promise<Result<WholeAnswer, EndpointDefect>> => new Promise((settle) => {
   let sending = false;
   let settled = false;
   const chunks: Buffer[] = [];
   let length = 0;
-  const sent = request({
-    method: order.method, path: order.url, headers: Headers.toRecord(order.headers) as never, setHost: false, insecureHTTPParser: false, maxHeaderSize: 32 * 1024, agent: order.agent,
-  });
+  const opened = openRequest(order);
+  if (opened.isErr()) return settle(err(opened.error));
+  const sent = opened.value;
   const finish = (outcome: Result<WholeAnswer, EndpointDefect>): void => {
     if (settled) return;
     settled = true;
--- a/src/connection/headers.ts
+++ b/src/connection/headers.ts
@@ -57,7 +57,7 @@
   },
   /** Headers by name, those that came more than once as lists. */
   toRecord: (raw: RawHeaders): Readonly<Record<string, string | readonly string[]>> => {
-    const record: Record<string, string | readonly string[]> = {};
+    const record = Object.create(null) as Record<string, string | readonly string[]>;
     const spelt = new Map<string, string>();
     for (let index = 0; index < raw.length; index += 2) {
       const name = raw[index] as string;
--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -3,7 +3,7 @@
 import { performance } from 'node:perf_hooks';
 import type { Result, ResultAsync } from 'neverthrow';
 import { pino, type Logger } from 'pino';
-import { Gauge, Registry } from 'prom-client';
+import { Counter, Gauge, Registry } from 'prom-client';
 import { brand, type BootId } from './brands.js';
 import { Clock } from './clock.js';
 import type { Defect } from './defect.js';
@@ -38,7 +38,7 @@
 const WATCH_MS = 2000;
 
 const refuseToRun = (name: string, line: string, code: number): never => {
-  process.stderr.write(`${name}: ${line.replace(/\s*\n\s*/g, ' ')}\n`);
+  process.stderr.write(`${name}: ${line.split('\n').map((part) => part.trim()).join(' ')}\n`);
   process.exit(code);
 };
 
@@ -64,6 +64,15 @@
   }, WATCH_MS).unref();
 };
 
+/** A rejection that nobody waited for ends one piece of work, never the process: it is logged and counted. */
+const guardRejections = (log: Logger, metrics: Registry): void => {
+  const count = new Counter({ name: 'opalstair_unhandled_rejections_total', help: 'Pieces of work that ended with a fault of opalstair\'s own', registers: [metrics] });
+  process.on('unhandledRejection', (reason) => {
+    count.inc();
+    log.error({ event: 'unhandled-rejection', error: reason instanceof Error ? reason.stack : String(reason) });
+  });
+};
+
 /** Runs a daemon from its command line to its end: settings, logs, signals, exit codes. */
 export const runProgram = async <S extends PlaceSettings>(program: Program<S>): Promise<void> => {
   const line = readCommandLine(program.table, process.argv.slice(2));
@@ -85,6 +94,7 @@
   addProcessMetrics(metrics);
   const stalls = new StallGuard(Clock.monotonic);
   stalls.onStall((gap) => log.warn({ event: 'stall', gapMs: Math.round(gap) }, 'the process stood still'));
+  guardRejections(log, metrics);
   const started = await program.start({ settings: settings.value, log, boot, clock: Clock.monotonic, stalls, metrics });
   if (started.isErr()) return refuseToRun(program.name, started.error.describe(), 1);
   const running = started.value;
--- a/src/version/manifest.ts
+++ b/src/version/manifest.ts
@@ -106,12 +106,14 @@
 const methodsSchema = Joi.array().items(Joi.string().valid(...METHODS)).unique();
 const prefixSchema = Joi.string().max(1024).custom((prefix: string, helpers) =>
   PathSegments.ofPrefix(prefix).match(() => prefix, (defect) => helpers.error('any.custom', { error: new Error(defect.detail) })));
+/** The target of a probe: a path, with a query perhaps, of characters that a request line can hold. */
+export const probeShape = Joi.string().pattern(/^\/[!-~]*$/, 'path without blanks').max(256);
 const count = (least: number, most: number): Joi.NumberSchema => Joi.number().integer().min(least).max(most);
 
 const manifestSchema = Joi.object({
   services: Joi.array().max(10_000).required().items(Joi.object({
     name: nameSchema.required(),
-    probe: Joi.string().pattern(/^\//, 'path').max(256).allow(null).default(null),
+    probe: probeShape.allow(null).default(null),
     connections: count(1, 100_000).default(120),
   })),
   bindings: Joi.array().max(20_000).required().items(Joi.object({
