Take only addresses that can be connected to; a message without content ends no process

What was seen: new WebSocket("ws://127.0.0.1:99999/") and datagrams to such a port throw at once; heartbeats and members' news with such addresses were taken, so the next timer ended the process. A message between processes without content threw inside a socket's event, with the same end.

Addresses from outside (settings, heartbeats, members) are checked whole: four octets, a port from 1 to 65535; a call to another address is "unreachable", which proves that nothing was sent. Handlers run inside a promise, so what they throw ends their link alone.

--- a/src/connection/beatDoor.ts
+++ b/src/connection/beatDoor.ts
@@ -1,16 +1,18 @@
 import type { HttpBindings } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
 import Joi from 'joi';
+import { addressShape } from '../process/addressShape.js';
 import { Address, type EndpointId, type InstanceId } from '../process/brands.js';
 import type { Announcement, LocalEndpoints } from '../process/localEndpoints.js';
+import { probeShape } from '../version/manifest.js';
 import { problem } from './operators.js';
 
 /** The names of endpoints, instances, services and zones. */
 export const nameShape = Joi.string().pattern(/^[A-Za-z0-9._-]{1,64}$/, 'name').required();
 export const announcementShape = Joi.object({
   service: nameShape, instance: nameShape, zone: nameShape,
-  address: Joi.string().pattern(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'ip:port').required(),
-  probe: Joi.string().pattern(/^\//, 'path').max(256).default('/'),
+  address: addressShape.required(),
+  probe: probeShape.default('/'),
   slots: Joi.number().integer().min(1).max(120).default(9),
   leaving: Joi.boolean().default(false),
   nonce: Joi.string().allow('').max(64).default(''),
--- a/src/connection/wire.ts
+++ b/src/connection/wire.ts
@@ -1,10 +1,10 @@
 import { BSON } from 'bson';
-import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { err, errAsync, ok, ResultAsync, type Result } from 'neverthrow';
 import type { IncomingMessage } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { WebSocketServer, type WebSocket } from 'ws';
-import { MessageDefect, type LostDefect, type TurnedAwayDefect, type UnreachableDefect } from '../process/defect.js';
-import type { Address } from '../process/brands.js';
+import { MessageDefect, UnreachableDefect, type LostDefect, type TurnedAwayDefect } from '../process/defect.js';
+import { Address } from '../process/brands.js';
 import { WireLink } from './wireLink.js';
 
 export const CLUSTER_HEADER = 'opalstair-cluster';
@@ -62,6 +62,7 @@
 
   /** Sends one message; an unreachable defect proves that nothing of it was sent. */
   call<T>(address: Address, path: string, message: object, deadlineMs: number, shape: Shape = ANYTHING): ResultAsync<T, WireDefect> {
+    if (!this.links.has(address) && !Address.isValid(address)) return errAsync(new UnreachableDefect(`${address}${path}: no address`));
     return new ResultAsync(this.linkTo(address).call(path, message, Math.max(1, deadlineMs)).then((answer) => answer.andThen((document) => checkShape<T>(document, shape))));
   }
 
@@ -142,7 +143,7 @@
   private hear(link: WebSocket, bytes: Buffer): void {
     const envelope = readBson<Envelope>(bytes, ANYTHING);
     const number = envelope.isOk() ? envelope.value.number : null;
-    if (envelope.isErr() || typeof number !== 'number' || typeof envelope.value.path !== 'string') {
+    if (envelope.isErr() || typeof number !== 'number' || typeof envelope.value.path !== 'string' || typeof envelope.value.message !== 'object') {
       this.watch.turnedAway('', envelope.isErr() ? envelope.error.describe() : 'no envelope');
       return link.terminate();
     }
@@ -160,7 +161,9 @@
       return refuse(checked.error.describe());
     }
     this.running += 1;
-    void Promise.resolve(handler.answer(checked.value)).then((answer) => this.reply(link, { number, answer }), (error: unknown) => {
+    /** Asynchronous, so that what it throws at once ends this link alone, too. */
+    const answered = async (): Promise<object> => handler.answer(checked.value);
+    void answered().then((answer) => this.reply(link, { number, answer }), (error: unknown) => {
       this.watch.turnedAway(path, `failed: ${String(error)}`);
       link.terminate();
     }).finally(() => {
--- a/src/process/brands.ts
+++ b/src/process/brands.ts
@@ -1,3 +1,7 @@
+import { isIPv4 } from 'node:net';
+
+const HIGHEST_PORT = 65_535;
+
 declare const brandTag: unique symbol;
 
 /** A type that shares its shape with T but can't be mixed up with another brand. */
@@ -32,4 +36,10 @@
   of: (host: string, port: number): Address => `${host}:${port}` as Address,
   host: (address: Address): string => address.slice(0, address.lastIndexOf(':')),
   port: (address: Address): number => Number(address.slice(address.lastIndexOf(':') + 1)),
+  /** Whether a text is an IPv4 address and a port that can be connected to. */
+  isValid: (text: string): boolean => {
+    const [host, port, ...rest] = text.split(':');
+    const isPort = port !== undefined && /^\d{1,5}$/.test(port) && Number(port) >= 1 && Number(port) <= HIGHEST_PORT;
+    return rest.length === 0 && isPort && isIPv4(host ?? '');
+  },
 } as const;
--- a/src/process/members.ts
+++ b/src/process/members.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 import Joi from 'joi';
+import { addressShape } from './addressShape.js';
 import type { Address, BootId, Instant, Millis, NodeName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
 
@@ -34,13 +35,13 @@
 
 const memberShape = Joi.object({
   name: Joi.string().max(64).required(), role: Joi.string().valid('switchboard', 'directory', 'ratebook').required(),
-  zone: Joi.string().max(64).required(), boot: Joi.string().max(64).required(), member: Joi.string().max(64).required(),
-  wire: Joi.string().max(64).required(), admin: Joi.string().max(64).required(), life: Joi.number().min(0).required(),
+  zone: Joi.string().max(64).required(), boot: Joi.string().max(64).required(), member: addressShape.required(),
+  wire: addressShape.required(), admin: addressShape.required(), life: Joi.number().min(0).required(),
   state: Joi.string().valid('alive', 'suspect', 'gone').required(),
 });
 export const gossipShape = Joi.object({
   cluster: Joi.string().required(), kind: Joi.string().valid('ping', 'ack', 'pingFor', 'sync', 'news').required(),
-  probe: Joi.number().required(), from: Joi.string().max(64).required(), about: Joi.string().allow('').max(64).required(),
+  probe: Joi.number().required(), from: addressShape.required(), about: addressShape.allow('').required(),
   news: Joi.array().items(memberShape).max(16).required(), mark: Joi.string().max(64),
 });
 
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { parseArgs, type ParseArgsConfig } from 'node:util';
 import Joi from 'joi';
+import { addressShape } from './addressShape.js';
 import { err, ok, type Result } from 'neverthrow';
 import { Address, type Millis, type NodeName, type ZoneName } from './brands.js';
 import { SettingsDefect, UsageDefect } from './defect.js';
@@ -36,11 +37,10 @@
   Joi.number().integer().min(1).max(65535).default((settings: { readonly portBase?: number }) => (settings.portBase === undefined ? fallback : Number(settings.portBase) + step));
 /** Where the ratebooks' ports begin above `portBase`; switchboards and directories begin at it. */
 export const RATEBOOK_STEP = 2;
-const addressPattern = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
 /** A setting in whole milliseconds. */
 export const millisSetting = (fallback: number, least = 1): Joi.Schema => Joi.number().integer().min(least).max(86_400_000).default(fallback);
 /** A list of `ip:port` addresses. */
-export const addressList = Joi.array().items(Joi.string().pattern(addressPattern, 'ip:port'));
+export const addressList = Joi.array().items(addressShape);
 
 /** The settings of every program, with the ports that the program starts from. */
 export const placeTable = (firstPort: number, step = 0): SettingTable => ({
@@ -102,7 +102,7 @@
   if (typeof value !== 'string') return value;
   const time = name.endsWith('Ms') ? /^(\d+(?:\.\d+)?)(ms|s)$/.exec(value) : null;
   if (time !== null) return Number(time[1]) * (time[2] === 's' ? 1000 : 1);
-  return name.endsWith('Port') && addressPattern.test(value) ? value.slice(value.indexOf(':') + 1) : value;
+  return name.endsWith('Port') && Address.isValid(value) ? value.slice(value.indexOf(':') + 1) : value;
 };
 
 const withSeedPorts = (settings: PlaceSettings & { readonly portBase?: number }): PlaceSettings => {
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -13,6 +13,7 @@
 import { orderDoor as takeOrders } from '../../connection/orderDoor.js';
 import { ownSpeech, type Speech } from '../../connection/speech.js';
 import { WireClient, type WireDefect } from '../../connection/wire.js';
+import { addressShape } from '../../process/addressShape.js';
 import { Allowance } from '../../process/allowance.js';
 import type { Address, Millis, OrderId, ServiceName } from '../../process/brands.js';
 import type { Defect } from '../../process/defect.js';
@@ -66,7 +67,7 @@
   endpointBacklog: { check: Joi.number().integer().min(0).max(100).default(0), help: 'orders given to an endpoint beyond its slots, where endpoints queue by themselves: the next one is there when a slot comes free' },
   callingService: { check: Joi.string().min(1).max(64), help: 'service of this machine: endpoints are told that its requests come from it' },
   readyPort: { check: Joi.number().integer().min(1).max(65535), help: 'port of a door for readiness alone; none when not given' },
-  endpointAt: { check: Joi.string().pattern(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'ip:port'), help: 'address of the endpoint of this machine, of the calling service: it is asked for its instance at the start' },
+  endpointAt: { check: addressShape, help: 'address of the endpoint of this machine, of the calling service: it is asked for its instance at the start' },
   leavingMs: { check: millisSetting(0, 0), help: 'how long a stopping switchboard still offers its endpoints to others' },
   partingMs: { check: millisSetting(1500, 0), help: 'how long a stopping switchboard goes on taking orders' },
 };
