--- a/src/version/matcher.ts
+++ b/src/version/matcher.ts
@@ -37,7 +37,13 @@
       .sort((one, other) => other.segments.length - one.segments.length);
     this.ofAnyHost = ranked.filter(({ binding }) => binding.host === null);
     const hosts = new Map<string, Ranked[]>();
-    for (const one of ranked) if (one.binding.host !== null) hosts.set(one.binding.host, [...(hosts.get(one.binding.host) ?? []), one]);
+    for (const one of ranked) {
+      const { host } = one.binding;
+      if (host === null) continue;
+      const ofHost = hosts.get(host);
+      if (ofHost === undefined) hosts.set(host, [one]);
+      else ofHost.push(one);
+    }
     this.ofHost = hosts;
   }
 
