Let the mending test wait for the copy that it is about

Cause: it waited for a count of mended copies, which the roster's copy raises as well, and then looked at once for a newer file of the manifest. Now it waits until that disk's own accepted entry is the committed one, which is stricter: a newer file may hold an older entry.

--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -2,6 +2,10 @@
 import { join } from 'node:path';
 import * as assert from 'uvu/assert';
 import { callJson, Fleet, PORTS, until, type JsonAnswer } from '../src/fleet/fleet.js';
+import { StoreClient } from '../src/connection/storeCalls.js';
+import { WireClient } from '../src/connection/wire.js';
+import type { Address, DiskId } from '../src/process/brands.js';
+import { MANIFEST_KEY } from '../src/version/entry.js';
 import { suite } from './harness.js';
 
 const { test, run } = suite('control state');
@@ -183,16 +187,19 @@
   const owner = await fleet.ownerOf('manifest');
   const late = fleet.cores.find((core) => core.name !== owner)?.name ?? '';
   await fleet.ratebooks.get(late)?.end('SIGKILL');
-  const folder = join(fleet.folder, late, 'registers', 'manifest');
-  const newest = (): string => readdirSync(folder).sort().at(-1) ?? '';
-  const former = newest();
   const serial = await fleet.push(manifestOf('second'));
   assert.is(serial, first + 1);
   await fleet.ratebooks.get(late)?.start();
   const metrics = async (core: string): Promise<string> => (await callJson<string>('GET', `http://${fleet.ratebooks.get(core)?.adminAddress}/metrics`)).body;
   await until('the sweep found it', async () => (await metrics(late)).includes(`opalstair_key_serial{key="manifest"} ${serial}`));
-  await until('the owner mended the copy', async () => /opalstair_copies_mended_total [1-9]/.test(await metrics(owner)));
-  assert.ok(newest() > former);
+  await until('the owner mended a copy', async () => /opalstair_copies_mended_total [1-9]/.test(await metrics(owner)));
+  const listening = fleet.ratebooks.get(late)?.lines.filter((line) => line.event === 'listening').at(-1);
+  const wire = new WireClient(fleet.block, fleet.machine(owner).host);
+  const copies = new StoreClient(wire);
+  const accepted = async (): Promise<number | undefined> =>
+    (await copies.dump({ id: listening?.['disk'] as DiskId, address: listening?.['wire'] as Address })).unwrapOr(null)?.get(MANIFEST_KEY)?.accepted?.serial;
+  // Another key's copy may be mended first, and counts alike: what is waited for is the copy of this one.
+  await until('the copy on the disk is the committed one', async () => (await accepted()) === serial).finally(() => wire.close());
 }));
 
 run();
