--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -44,7 +44,7 @@
 const [firstMachine] = fleet.machines;
 process.stdout.write([
   `${parsed.home}: ${fleet.machines.length} application machines in ${home.zones} zones, ${fleet.cores.length} core machines; data in ${fleet.folder}`,
-  `operators:  npx opalctl --directory ${fleet.cores[0]?.host}:${PORTS.directoryAdmin} fleet`,
+  `operators:  node dist/src/programs/opalctl.js --directory ${fleet.cores[0]?.host}:${PORTS.directoryAdmin} fleet`,
   `callers:    curl -i http://${firstMachine?.host}:${PORTS.order}${home.manifest.bindings[0]?.prefix ?? '/'}/1`,
   'stop with Ctrl-C', '',
 ].join('\n'));
