A process that can't start or stop in order still ends: rejections are kept from then on only

The guard against rejections that nobody waits for stood before the start: a start that failed by one would have been logged and left a process that is there and does nothing (read, not seen).

--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -64,7 +64,7 @@
   }, WATCH_MS).unref();
 };
 
-/** A rejection that nobody waited for ends one piece of work, never the process: it is logged and counted. */
+/** In a process that has started, a rejection that nobody waited for ends one piece of work alone: it is logged and counted. */
 const guardRejections = (log: Logger, metrics: Registry): void => {
   const count = new Counter({ name: 'opalstair_unhandled_rejections_total', help: 'Pieces of work that ended with a fault of opalstair\'s own', registers: [metrics] });
   process.on('unhandledRejection', (reason) => {
@@ -94,9 +94,9 @@
   addProcessMetrics(metrics);
   const stalls = new StallGuard(Clock.monotonic);
   stalls.onStall((gap) => log.warn({ event: 'stall', gapMs: Math.round(gap) }, 'the process stood still'));
-  guardRejections(log, metrics);
   const started = await program.start({ settings: settings.value, log, boot, clock: Clock.monotonic, stalls, metrics });
   if (started.isErr()) return refuseToRun(program.name, started.error.describe(), 1);
+  guardRejections(log, metrics);
   const running = started.value;
   let stopping = false;
   const stop = (signal: string): void => {
@@ -106,7 +106,7 @@
     void running.stop().then(() => {
       log.info({ event: 'stopped', uptimeMs: Math.round(performance.now()) });
       process.exit(0);
-    });
+    }, (error: unknown) => refuseToRun(program.name, `could not stop in order: ${String(error)}`, 1));
   };
   process.on('SIGTERM', () => stop('SIGTERM'));
   process.on('SIGINT', () => stop('SIGINT'));
