Ask one neighbour for its list and not five, and none for a list that is held already

Cause, read off the code: a node that hears no directory asks five neighbours every 0.3 s, and each answers with its whole list of endpoints, some 26 KB at 58 machines: 3.5 Mbit/s for each node on links of 4.41 Mbit/s, thrown away for the most part, since the list of a neighbour that hears no directory either counts for nothing. Directories that ask nodes for masks got the list as well.

Now the question carries the mark of the asker's list and whether a list is wanted: one of the five is asked for it, and answers with it only if it differs and a directory vouches for it.

--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -45,9 +45,15 @@
   masks: Joi.array().items(maskSnapshotShape).required(), isCurrent: Joi.boolean().required(), isWarming: Joi.boolean(),
 });
 
-/** What a neighbour is asked for: a manifest later than the one that the asker has. */
-export interface SnapshotAsk { readonly manifest?: Serial }
-export const snapshotAskShape = Joi.object({ manifest: Joi.number().integer().min(0) });
+/** What a neighbour is asked for: a manifest later than the one that the asker has, its masks, and its list of endpoints. */
+export interface SnapshotAsk {
+  readonly manifest?: Serial;
+  /** False when no list is asked for; taken as true when it is not given. */
+  readonly wantsList?: boolean;
+  /** The mark of the list that the asker has, if it has one: the same list is not sent, nor one that no directory vouches for. */
+  readonly listMark?: string;
+}
+export const snapshotAskShape = Joi.object({ manifest: Joi.number().integer().min(0), wantsList: Joi.boolean(), listMark: Joi.string().allow('').max(64) });
 
 /** A switchboard's whole list of the endpoints on its machine. */
 export interface NodeReport {
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -28,6 +28,8 @@
 /** A directory of this zone that failed is passed over for so long. */
 const FAR_MS = 10_000;
 const NEIGHBOURS_ASKED = 5;
+/** A list is many times as long as all else that a neighbour tells, and the links may be full already. */
+const LISTS_ASKED = 1;
 const NEIGHBOUR_ANSWER_MS = 500;
 
 /** One manifest in force, made ready for use. */
@@ -145,7 +147,9 @@
 
   /** What a neighbour that hears no directory, or a directory that lost its memory, may copy. */
   snapshot(ask: SnapshotAsk): NodeNews {
-    return { manifest: this.inForce.serial > (ask.manifest ?? 0) ? { serial: this.inForce.serial, manifest: this.inForce.manifest } : null, endpoints: this.endpoints, masks: [...this.masks.values()], isCurrent: this.freshness.hearsDirectory };
+    const hasOne = ask.listMark !== undefined && ask.listMark !== '';
+    const isListNews = ask.wantsList !== false && !(hasOne && (ask.listMark === this.mark || !this.freshness.hearsDirectory));
+    return { manifest: this.inForce.serial > (ask.manifest ?? 0) ? { serial: this.inForce.serial, manifest: this.inForce.manifest } : null, endpoints: isListNews ? this.endpoints : null, masks: [...this.masks.values()], isCurrent: this.freshness.hearsDirectory };
   }
 
   /** The mark of the list of endpoints that this node goes by; empty before the first. */
@@ -279,10 +283,10 @@
     this.isAskingNeighbours = true;
     const others = this.membership.having('switchboard').filter((member) => member.boot !== this.frame.boot);
     const asked = this.hasSnapshots ? [...others].sort(() => Math.random() - 0.5).slice(0, NEIGHBOURS_ASKED) : others;
-    const ask: SnapshotAsk = { manifest: this.inForce.serial };
     const learn = (news: NodeNews): void => this.learn({ ...news, endpoints: news.isCurrent || this.endpoints === null ? news.endpoints : null }, false);
     const isStarting = !this.hasSnapshots;
-    const answers = await Promise.all(asked.map(async ({ wire }): Promise<readonly NodeNews[]> => {
+    const answers = await Promise.all(asked.map(async ({ wire }, index): Promise<readonly NodeNews[]> => {
+      const ask: SnapshotAsk = { manifest: this.inForce.serial, listMark: this.mark, wantsList: isStarting || index < LISTS_ASKED };
       const answer: Result<NodeNews, WireDefect> = await this.wire.call<NodeNews>(wire, NodePath.snapshot, ask, NEIGHBOUR_ANSWER_MS, nodeNewsShape);
       if (answer.isOk() && !isStarting) learn(answer.value);
       return answer.match((news) => [news], () => []);
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -4,7 +4,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { adminApp, wireServer } from '../../connection/admin.js';
 import { Listener } from '../../connection/listener.js';
-import { listAskShape, listNewsShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, shareAskShape, type ListAsk, type ListNews, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport } from '../../connection/nodeCalls.js';
+import { listAskShape, listNewsShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, shareAskShape, type ListAsk, type ListNews, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { HopPath, probeAnswerShape, type ProbeAnswer } from '../../connection/hopCalls.js';
 import { addOperatorCalls } from '../../connection/operators.js';
 import { StoreClient } from '../../connection/storeCalls.js';
@@ -89,7 +89,7 @@
       const members = membership.having('switchboard').filter((one) => nodes === null || nodes.includes(one.name));
       const asked = [...members].sort(() => Math.random() - 0.5).slice(0, NODES_ASKED);
       const answers = await Promise.all(asked.map(async ({ wire: address }) =>
-        (await wire.call<MaskMessage>(address, NodePath.snapshot, {}, 500, Joi.object({ masks: maskMessageShape.extract('masks') }))).match((found) => found.masks, () => [])));
+        (await wire.call<MaskMessage>(address, NodePath.snapshot, { wantsList: false } satisfies SnapshotAsk, 500, Joi.object({ masks: maskMessageShape.extract('masks') }))).match((found) => found.masks, () => [])));
       return answers.flat();
     },
   });
