Acknowledge that an endpoint leaves only once other processes hold the mark

Cause: the acknowledgement came out of one process's memory. Directories were told beside it, and nobody else.

Now the mark goes to all directories, to the endpoint's own host if that is another node, and to the two switchboards that rank first for the instance; the acknowledgement waits until as many of them hold it as machines may be lost at once, one at least, 0.4 s at most, else 503 and the endpoint tries the next node. A host that hears of an instance for the first time lists it only after it has asked directories and four switchboards for a mark; while no directory that answers has heard everybody out, the endpoint itself is asked (200 with its own id: it doesn't leave), and after 10 s of heartbeats nothing can be a late one any more.

--- a/src/connection/beatDoor.ts
+++ b/src/connection/beatDoor.ts
@@ -1,9 +1,13 @@
 import type { HttpBindings } from '@hono/node-server';
 import { Hono, type Context } from 'hono';
 import Joi from 'joi';
+import type { Result } from 'neverthrow';
 import { addressShape } from '../process/addressShape.js';
 import { Address, type EndpointId, type InstanceId } from '../process/brands.js';
-import type { Announcement, LocalEndpoints } from '../process/localEndpoints.js';
+import type { TooManyDepartures } from '../process/departures.js';
+import type { Announcement, BeatAnswer, Departed } from '../process/announcement.js';
+import type { LocalEndpoints } from '../process/localEndpoints.js';
+import type { MarkReplicas, TooFewReplicas } from '../process/markReplicas.js';
 import { probeShape } from '../version/manifest.js';
 import { problem } from './operators.js';
 
@@ -23,11 +27,27 @@
 /** What the door needs of the process behind it. */
 export interface BeatDesk {
   readonly endpoints: LocalEndpoints;
+  /** Where a mark must be held before it is acknowledged. */
+  readonly marks: Pick<MarkReplicas, 'keep'>;
   readonly ownHosts: readonly string[];
   checkStall(): void;
   turnedAway(id: string, reason: string): void;
 }
 
+/** Takes a heartbeat; that an endpoint leaves is acknowledged once others hold the mark. */
+export const acknowledgeBeat = async (desk: BeatDesk, said: Announcement): Promise<Result<BeatAnswer, Departed | TooManyDepartures | TooFewReplicas>> => {
+  const answer = desk.endpoints.beat(said);
+  if (answer.isErr() || !said.leaving) return answer;
+  const kept = await desk.marks.keep({ instance: said.instance, state: 'leaving' });
+  return kept.andThen(() => answer);
+};
+
+/** Takes a departure; it is acknowledged once nothing runs at the endpoint, or the time is up, and others hold the mark. */
+export const acknowledgeDeparture = async (desk: BeatDesk, id: EndpointId, instance: InstanceId, mostMs?: number): Promise<Result<void, TooManyDepartures | TooFewReplicas>> => {
+  const [left, kept] = await Promise.all([desk.endpoints.signOff(id, instance, mostMs), desk.marks.keep({ instance, state: 'departed' })]);
+  return left.andThen(() => kept);
+};
+
 /** Endpoints announce themselves here, each to the switchboard of its own machine. */
 export const beatApp = (desk: BeatDesk): Hono<{ Bindings: HttpBindings }> => {
   const app = new Hono<{ Bindings: HttpBindings }>();
@@ -50,7 +70,7 @@
     if (checked.error !== undefined || nameShape.validate(id).error !== undefined) return turnAway(context, 400, id, 'bad-announcement', checked.error?.message ?? 'bad endpoint id');
     const said = { ...(checked.value as Omit<Announcement, 'id'>), id };
     if (!isOwn(Address.host(said.address))) return turnAway(context, 400, id, 'foreign-address', `${said.address} is not on this machine`);
-    const answer = desk.endpoints.beat(said);
+    const answer = await acknowledgeBeat(desk, said);
     return answer.match((found) => context.json(found), (defect) => turnAway(context, defect.kind === 'departed' ? 409 : 503, id, defect.kind, defect.detail));
   });
   app.delete('/v1/endpoints/:id', async (context) => {
@@ -58,7 +78,7 @@
     const id = context.req.param('id') as EndpointId;
     const instance = context.req.query('instance');
     if (nameShape.validate(instance).error !== undefined || nameShape.validate(id).error !== undefined) return turnAway(context, 400, id, 'bad-announcement', 'bad endpoint id or instance');
-    const left = await desk.endpoints.signOff(id, instance as InstanceId);
+    const left = await acknowledgeDeparture(desk, id, instance as InstanceId);
     return left.match(() => context.json({ left: true }), (defect) => turnAway(context, 503, id, defect.kind, defect.detail));
   });
   return app;
--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -4,7 +4,7 @@
 import { endpointSnapshotShape, endpointRowShape, manifestSnapshotShape, maskSnapshotShape, type EndpointSnapshot, type EndpointRow, type ManifestSnapshot, type MaskSnapshot } from '../version/snapshots.js';
 
 /** The calls that a directory takes from switchboards and from other directories. */
-export const NodePath = { poll: '/node/poll', report: '/node/report', outcomes: '/node/outcomes', mask: '/directory/mask', snapshot: '/node/digest', shares: '/node/shares', list: '/directory/list' } as const;
+export const NodePath = { poll: '/node/poll', report: '/node/report', outcomes: '/node/outcomes', mask: '/directory/mask', snapshot: '/node/digest', shares: '/node/shares', list: '/directory/list', keepMark: '/node/marks/keep', findMark: '/node/marks/find' } as const;
 
 const text = Joi.string().max(256).required();
 const whole = Joi.number().integer().min(0).required();
@@ -80,6 +80,29 @@
   changed: Joi.number().integer().min(0), departed: Joi.array().items(item).max(10_000), leaving: Joi.array().items(item).max(10_000), mark: Joi.string().allow('').max(64),
 });
 
+/** An instance that said that it leaves, or that it is gone: whatever heartbeat comes late, it takes no new request. */
+export interface DepartureMark {
+  readonly instance: InstanceId;
+  readonly state: 'leaving' | 'departed';
+}
+const markStates = ['leaving', 'departed'] as const;
+export const departureMarkShape = Joi.object({ instance: text, state: Joi.string().valid(...markStates).required() });
+
+/** Whether the process that was asked to keep a mark holds it now. */
+export interface MarkKept { readonly isKept: boolean }
+export const markKeptShape = Joi.object({ isKept: Joi.boolean().required() });
+
+/** Asks whether there is a mark of an instance. */
+export interface MarkAsk { readonly instance: InstanceId }
+export const markAskShape = Joi.object({ instance: text });
+
+/** The mark of an instance, if this process holds one; `isComplete` when it has heard of every mark that others hold. */
+export interface MarkAnswer {
+  readonly state: DepartureMark['state'] | null;
+  readonly isComplete: boolean;
+}
+export const markAnswerShape = Joi.object({ state: Joi.string().valid(...markStates).allow(null).required(), isComplete: Joi.boolean().required() });
+
 /** What a host should know of its report: a later boot's word stands above it, or it names instances that have departed or leave. */
 export interface ReportAnswer {
   readonly above?: number;
--- a/src/fleet/platformEndpoint.ts
+++ b/src/fleet/platformEndpoint.ts
@@ -68,10 +68,13 @@
   /** Answers that came late, in the place of another. */
   surplusSent = 0;
   isAlive = true;
+  /** What it thinks of itself: a health answer may be false. */
+  isHealthy = true;
   /** Where it listens, or listened. */
   listenedAt = '';
   private sequence = 0;
   private isDraining = false;
+  private hasDeparted = false;
   private isBeating = false;
   private timer: NodeJS.Timeout | null = null;
   private waiters: readonly (() => void)[] = [];
@@ -125,10 +128,11 @@
     return this.beat();
   }
 
-  /** Reports its departure; the status of the acknowledgement, 0 when none came. */
-  async depart(): Promise<number> {
+  /** Reports its departure, to another machine's node if that is named; the status of the acknowledgement, 0 when none came. */
+  async depart(beatHost = this.place.host): Promise<number> {
     this.stopBeating();
-    return (await this.post(`/-/instances/${this.instance}/departure`, undefined)).status;
+    this.hasDeparted = true;
+    return (await this.post(`/-/instances/${this.instance}/departure`, undefined, beatHost)).status;
   }
 
   /** Goes without a word: no beat, no listener, every connection cut. */
@@ -176,9 +180,9 @@
     return this.sequence;
   }
 
-  private async post(path: string, body: unknown): Promise<Beaten> {
+  private async post(path: string, body: unknown, beatHost = this.place.host): Promise<Beaten> {
     try {
-      const answer = await request(`http://${this.place.host}:${this.place.beatPort}${path}`, {
+      const answer = await request(`http://${beatHost}:${this.place.beatPort}${path}`, {
         method: 'POST', dispatcher: this.agent, headersTimeout: 5000, ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
       });
       return { status: answer.statusCode, body: await answer.body.json().catch(() => null) };
@@ -265,7 +269,7 @@
 
   private answerProbe(outgoing: ServerResponse): void {
     this.probes += 1;
-    outgoing.writeHead(this.isDraining ? 503 : 200, { 'instance-id': this.instance, 'content-length': 0 }).end();
+    outgoing.writeHead(this.isDraining || this.hasDeparted || !this.isHealthy ? 503 : 200, { 'instance-id': this.instance, 'content-length': 0 }).end();
   }
 
   private refuse(outgoing: ServerResponse, { id }: PlatformRecord, status: number): void {
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -6,7 +6,7 @@
 import { HeldList, ListMark } from '../version/endpointList.js';
 import { Manifest, type AllowanceRules, type Binding, type HealthRules } from '../version/manifest.js';
 import { Matcher } from '../version/matcher.js';
-import type { Address, Instant, Millis, Serial, ServiceName } from './brands.js';
+import type { Address, InstanceId, Instant, Millis, Serial, ServiceName } from './brands.js';
 import { Freshness, UNSURE_MS } from './freshness.js';
 import type { Membership } from './membership.js';
 import type { Frame } from './program.js';
@@ -145,6 +145,11 @@
     return { rows: this.rowsOf.get(service) ?? [], mask: this.masks.get(service) ?? null };
   }
 
+  /** The row of an instance in the list that this node goes by. */
+  rowOf(instance: InstanceId): EndpointRow | null {
+    return this.endpoints?.rows.find((row) => row.instance === instance) ?? null;
+  }
+
   /** What a neighbour that hears no directory, or a directory that lost its memory, may copy. */
   snapshot(ask: SnapshotAsk): NodeNews {
     const hasOne = ask.listMark !== undefined && ask.listMark !== '';
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -1,6 +1,6 @@
 import { Gauge, Histogram } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
-import type { ListAsk, ListNews, MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport, ReportAnswer } from '../connection/nodeCalls.js';
+import type { DepartureMark, ListAsk, ListNews, MarkAnswer, MarkAsk, MarkKept, MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport, ReportAnswer } from '../connection/nodeCalls.js';
 import { MaskSnapshot, type EndpointRow } from '../version/snapshots.js';
 import { Windows } from '../version/windows.js';
 import { Manifest, type HealthRules } from '../version/manifest.js';
@@ -133,6 +133,15 @@
     return this.registry.adviceFor(message);
   }
 
+  keepMark(mark: DepartureMark): MarkKept {
+    if (this.registry.keepMark(mark)) this.hasNews = true;
+    return { isKept: true };
+  }
+
+  markOf({ instance }: MarkAsk): MarkAnswer {
+    return this.registry.markOf(instance);
+  }
+
   /** Another directory's words on hosts. */
   learnList(from: NodeName, news: ListNews): void {
     if (this.registry.learn(from, news)) this.hasNews = true;
--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -1,9 +1,10 @@
 import { randomBytes } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
 import type { Load, TurnAwayCause } from '../connection/hopCalls.js';
-import type { Address, EndpointId, InstanceId, Instant, ServiceName, ZoneName } from './brands.js';
+import type { DepartureMark, MarkAnswer, MarkKept } from '../connection/nodeCalls.js';
+import { Departed, MET_SEQUENCE, type Announcement, type BeatAnswer, type FindMark } from './announcement.js';
+import type { Address, EndpointId, InstanceId, Instant, ServiceName } from './brands.js';
 import type { Clock } from './clock.js';
-import { Defect } from './defect.js';
 import { Departures, type TooManyDepartures } from './departures.js';
 import { RequestTimes } from './requestTimes.js';
 
@@ -23,35 +24,6 @@
 /** It goes after those that are new: what is served at the second try earns less, and whoever waits longest is worth least. */
 const RETRIED_STEP = 4;
 
-/** What an endpoint says of itself in each beat. */
-export interface Announcement {
-  readonly id: EndpointId;
-  readonly service: ServiceName;
-  readonly address: Address;
-  readonly instance: InstanceId;
-  readonly zone: ZoneName;
-  readonly probe: string;
-  readonly slots: number;
-  readonly leaving: boolean;
-  readonly nonce: string;
-  /** The endpoint refuses what is meant for another instance, so a beat need not prove when it was sent. */
-  readonly fenced: boolean;
-  /** Rises with each beat, so that a late one is known; null where beats are not numbered. */
-  readonly sequence: number | null;
-}
-
-export interface BeatAnswer {
-  readonly nonce: string;
-  /** Whether this beat counted; if not, the endpoint beats again at once with the nonce. */
-  readonly counted: boolean;
-  readonly leaving: boolean;
-  readonly running: number;
-}
-
-export class Departed extends Defect {
-  readonly kind = 'departed';
-}
-
 interface Waiter {
   readonly rank: number;
   /** How long requests of its kind take, in milliseconds. */
@@ -68,6 +40,8 @@
   provenAt: Instant;
   given: readonly Nonce[];
   leaving: boolean;
+  /** Whether others were asked for a mark of its leaving that was given before this host heard of it. */
+  isConfirmed: boolean;
   running: number;
   /** By rank, then as they came. */
   waiters: readonly Waiter[];
@@ -113,7 +87,7 @@
   private readonly standing = new Map<EndpointId, Standing>();
   private readonly departures: Departures;
 
-  constructor(private readonly clock: Clock, private readonly onChange: () => void, private readonly onRemoved: (said: Announcement) => void = () => undefined, private readonly backlog = 0) {
+  constructor(private readonly clock: Clock, private readonly onChange: () => void, private readonly onRemoved: (said: Announcement) => void = () => undefined, private readonly backlog = 0, private readonly findMark: FindMark | null = null) {
     this.departures = new Departures(clock);
   }
 
@@ -133,7 +107,7 @@
     }
     const isSame = known !== undefined && known.said.instance === said.instance && known.said.service === said.service && known.said.address === said.address;
     if (known !== undefined && !isSame) this.remove(said.id);
-    const spot: Standing = isSame ? known : { said, provenAt: -Infinity as Instant, given: [], leaving: false, running: 0, waiters: [], ended: [], times: new RequestTimes(this.clock), refused: 0 };
+    const spot: Standing = isSame ? known : { said, provenAt: -Infinity as Instant, given: [], leaving: false, isConfirmed: !this.needsMark(said), running: 0, waiters: [], ended: [], times: new RequestTimes(this.clock), refused: 0 };
     const before = this.view(spot, now);
     spot.said = said;
     spot.leaving = spot.leaving || this.departures.isLeaving(said.instance);
@@ -147,10 +121,43 @@
     if (!said.fenced) spot.given = [...spot.given, { nonce, givenAt: now }].slice(-NONCES_KEPT);
     this.standing.set(said.id, spot);
     if (spot.leaving) this.turnWaitersAway(spot);
+    if (!isSame && !spot.isConfirmed) void this.confirm(spot);
     if (!isSame || before !== this.view(spot, now)) this.onChange();
     return ok({ nonce, counted, leaving: spot.leaving, running: spot.running });
   }
 
+  /** Keeps a mark that another switchboard is about to acknowledge, of an endpoint of this machine or of any other. */
+  keepMark({ instance, state }: DepartureMark): MarkKept {
+    const noted = state === 'departed' ? this.departures.noteDeparted(instance) : this.departures.noteLeaving(instance);
+    if (noted.isErr()) return { isKept: false };
+    if (state === 'departed') this.endDeparted([instance]);
+    else this.keepLeaving([instance]);
+    this.onChange();
+    return { isKept: true };
+  }
+
+  /** The mark that this host holds of an instance; it knows of no other host's. */
+  markOf(instance: InstanceId): MarkAnswer {
+    const state = this.departures.hasDeparted(instance) ? 'departed' : this.departures.isLeaving(instance) ? 'leaving' : null;
+    return { state, isComplete: false };
+  }
+
+  /** A heartbeat that proves by its nonce when it was made, or an endpoint that was just asked, can't be one of before a departure. */
+  private needsMark(said: Announcement): boolean {
+    return this.findMark !== null && said.fenced && said.sequence !== MET_SEQUENCE;
+  }
+
+  /** Until others were asked for its mark, an endpoint that this host has just heard of takes no request. */
+  private async confirm(spot: Standing): Promise<void> {
+    const { id, instance } = spot.said;
+    const state = await this.findMark?.(spot.said);
+    if (this.standing.get(id) !== spot) return;
+    spot.isConfirmed = true;
+    if (state === 'departed') this.endDeparted([instance]);
+    else if (state === 'leaving') this.keepLeaving([instance]);
+    this.onChange();
+  }
+
   /** Whether an endpoint at this address has announced itself. */
   has(address: Address): boolean {
     return [...this.standing.values()].some((spot) => spot.said.address === address);
@@ -352,7 +359,7 @@
   }
 
   private isProven(spot: Standing, now: Instant): boolean {
-    return now - spot.provenAt <= (spot.said.fenced ? FENCED_SILENCE_MS : PROOF_MS);
+    return spot.isConfirmed && now - spot.provenAt <= (spot.said.fenced ? FENCED_SILENCE_MS : PROOF_MS);
   }
 
   private view(spot: Standing, now: Instant): string {
--- /dev/null
+++ b/src/process/markReplicas.ts
@@ -0,0 +1,131 @@
+import { createHash } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import { markAnswerShape, markKeptShape, NodePath, type DepartureMark, type MarkAnswer, type MarkAsk, type MarkKept } from '../connection/nodeCalls.js';
+import type { WireClient } from '../connection/wire.js';
+import type { EndpointRow } from '../version/snapshots.js';
+import type { Address, InstanceId, Instant } from './brands.js';
+import type { Clock } from './clock.js';
+import { Defect } from './defect.js';
+import type { Member, Role } from './members.js';
+
+/** An endpoint goes on to another node after a second without an acknowledgement. */
+const KEEP_MS = 400;
+const ASK_MS = 250;
+/** An instance that nobody could be asked about yet is asked about again. */
+const ASK_AGAIN_MS = 300;
+/** A heartbeat comes no later than this after it was made, in milliseconds: who still makes them then has not left. */
+const LATE_HEARTBEAT_MS = 10_000;
+/** Switchboards that hold a mark beside the directories, so that the end of the whole core does not lose it. */
+const SWITCHBOARDS_HOLDING = 2;
+/** More are asked than hold a mark: some may have gone, or come, since it was given. */
+const SWITCHBOARDS_ASKED = 4;
+/** What was kept lately need not be kept again for an acknowledgement that is asked for again. */
+const KEPT_REMEMBERED_MS = 30_000;
+
+/** Too few other processes hold the mark: it would be lost with this one. */
+export class TooFewReplicas extends Defect {
+  readonly kind = 'too-few-replicas';
+}
+
+/** What the replicas of a mark need of the process around them. */
+export interface MarkParts {
+  readonly self: string;
+  readonly clock: Clock;
+  readonly having: (role: Role) => readonly Member[];
+  readonly wire: Pick<WireClient, 'call'>;
+  /** How many other processes must hold a mark before it is acknowledged. */
+  readonly replicas: number;
+  /** The endpoint's row in the list that this node goes by. */
+  readonly rowOf: (instance: InstanceId) => EndpointRow | null;
+  /** Whether the endpoint itself says at this address that it is this instance and serves. */
+  readonly isServing: (said: { readonly instance: InstanceId; readonly service: EndpointRow['service']; readonly address: Address }) => Promise<boolean>;
+}
+
+/**
+ * Keeps the marks of endpoints that leave or have departed at other processes, and finds them there: the one that
+ * acknowledged may end in the next moment. Directories hold every mark; of the switchboards a few, chosen by the
+ * instance's name so that they are found again.
+ */
+export class MarkReplicas {
+  private readonly keptAt = new Map<string, Instant>();
+
+  constructor(private readonly parts: MarkParts) {}
+
+  /** Resolves once enough other processes hold the mark, and the endpoint's own host if that is another node. */
+  async keep(mark: DepartureMark): Promise<Result<void, TooFewReplicas>> {
+    const key = `${mark.state}/${mark.instance}`;
+    if (this.parts.clock.now() - (this.keptAt.get(key) ?? -Infinity) < KEPT_REMEMBERED_MS) return ok(undefined);
+    const host = this.hostOf(mark.instance);
+    const holders = this.addressesFor(mark.instance, SWITCHBOARDS_HOLDING);
+    const asked = [...new Set(host === null ? holders : [...holders, host])];
+    const isKept = await this.isKeptByEnough(asked, host, mark);
+    if (!isKept) return err(new TooFewReplicas(`${mark.instance} ${mark.state}: fewer than ${this.parts.replicas} of ${asked.length} other processes answered`));
+    this.remember(key);
+    return ok(undefined);
+  }
+
+  /**
+   * The mark that others hold of an instance that this host has just heard of; null when it has none. Nobody who answers
+   * may know of one that was given before they started, so then the endpoint itself is asked, or its later heartbeats tell.
+   */
+  async find(said: { readonly instance: InstanceId; readonly service: EndpointRow['service']; readonly address: Address }): Promise<DepartureMark['state'] | null> {
+    const start = this.parts.clock.now();
+    for (;;) {
+      const answers = await this.askAll(said.instance);
+      const marks = answers.flatMap(({ state }) => (state === null ? [] : [state]));
+      if (marks.includes('departed')) return 'departed';
+      if (marks.includes('leaving')) return 'leaving';
+      if (answers.some(({ isComplete }) => isComplete) || (await this.parts.isServing(said))) return null;
+      if (this.parts.clock.now() - start >= LATE_HEARTBEAT_MS) return null;
+      await new Promise((settle) => { setTimeout(settle, ASK_AGAIN_MS).unref(); });
+    }
+  }
+
+  private isKeptByEnough(asked: readonly Address[], host: Address | null, mark: DepartureMark): Promise<boolean> {
+    return new Promise((settle) => {
+      let kept = 0;
+      let answered = 0;
+      let isHostDone = host === null;
+      const look = (): void => {
+        if (kept >= this.parts.replicas && isHostDone) settle(true);
+        else if (answered === asked.length) settle(kept >= this.parts.replicas);
+      };
+      for (const address of asked) {
+        void this.parts.wire.call<MarkKept>(address, NodePath.keepMark, mark, KEEP_MS, markKeptShape).then((answer) => {
+          answered += 1;
+          if (answer.isOk() && answer.value.isKept) kept += 1;
+          if (address === host) isHostDone = true;
+          look();
+        });
+      }
+      look();
+    });
+  }
+
+  private async askAll(instance: InstanceId): Promise<readonly MarkAnswer[]> {
+    const ask: MarkAsk = { instance };
+    const answers = await Promise.all(this.addressesFor(instance, SWITCHBOARDS_ASKED).map((address) => this.parts.wire.call<MarkAnswer>(address, NodePath.findMark, ask, ASK_MS, markAnswerShape)));
+    return answers.flatMap((answer) => answer.match((found) => [found], () => []));
+  }
+
+  /** Every directory, and the switchboards whose names rank first for this instance. */
+  private addressesFor(instance: InstanceId, switchboards: number): readonly Address[] {
+    const rank = ({ name }: Member): string => createHash('sha256').update(`${instance}/${name}`).digest('hex');
+    const ranked = this.parts.having('switchboard').filter(({ name }) => name !== this.parts.self).map((member) => ({ member, place: rank(member) })).sort((one, other) => (one.place < other.place ? -1 : 1));
+    return [...this.parts.having('directory'), ...ranked.slice(0, switchboards).map(({ member }) => member)].map(({ wire }) => wire);
+  }
+
+  private hostOf(instance: InstanceId): Address | null {
+    const row = this.parts.rowOf(instance);
+    return row === null || row.node === this.parts.self ? null : row.hop;
+  }
+
+  private remember(key: string): void {
+    const now = this.parts.clock.now();
+    for (const [known, at] of this.keptAt) {
+      if (now - at < KEPT_REMEMBERED_MS) break;
+      this.keptAt.delete(known);
+    }
+    this.keptAt.set(key, now);
+  }
+}
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -1,4 +1,4 @@
-import type { ListAsk, ListHint, ListNews, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
+import type { DepartureMark, ListAsk, ListHint, ListNews, MarkAnswer, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
 import type { EndpointSnapshot, EndpointRow } from '../version/snapshots.js';
 import { ListChanges } from '../version/listChanges.js';
 import { EndpointList, ListMark, type HostWord, type ListedWord, type ServiceMarks } from '../version/endpointList.js';
@@ -71,6 +71,18 @@
     return this.take({ words: [{ ...word, silentMs: 0 }], departed: (report.departed ?? []).map((instance) => ({ instance, agoMs: 0 })) }, null);
   }
 
+  /** Keeps a mark that a switchboard is about to acknowledge; whether it changed the list. */
+  keepMark({ instance, state }: DepartureMark): boolean {
+    this.leavingAt.set(instance, this.clock.now());
+    return state === 'departed' && this.take({ words: [], departed: [{ instance, agoMs: 0 }] }, null);
+  }
+
+  /** The mark of an instance; a directory that has heard every switchboard out has them all. */
+  markOf(instance: InstanceId): MarkAnswer {
+    const state = this.list.hasDeparted(instance) ? 'departed' : this.leavingAt.has(instance) ? 'leaving' : null;
+    return { state, isComplete: this.current() !== null };
+  }
+
   /** What a host should know after its report. */
   adviceFor(report: NodeReport): ReportAnswer {
     const known = this.list.word(report.node);
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -4,7 +4,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { adminApp, wireServer } from '../../connection/admin.js';
 import { Listener } from '../../connection/listener.js';
-import { listAskShape, listNewsShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, shareAskShape, type ListAsk, type ListNews, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport, type SnapshotAsk } from '../../connection/nodeCalls.js';
+import { departureMarkShape, listAskShape, listNewsShape, markAskShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, shareAskShape, type DepartureMark, type ListAsk, type ListNews, type MarkAsk, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { HopPath, probeAnswerShape, type ProbeAnswer } from '../../connection/hopCalls.js';
 import { addOperatorCalls } from '../../connection/operators.js';
 import { StoreClient } from '../../connection/storeCalls.js';
@@ -106,6 +106,8 @@
   server.on<ShareAsk>(NodePath.shares, shareAskShape, (message) => desk.lend(message));
   server.on<MaskMessage>(NodePath.mask, maskMessageShape, (message) => desk.learnMasks(message));
   server.on<ListAsk>(NodePath.list, listAskShape, (message) => desk.answerList(message));
+  server.on<DepartureMark>(NodePath.keepMark, departureMarkShape, (message) => desk.keepMark(message));
+  server.on<MarkAsk>(NodePath.findMark, markAskShape, (message) => desk.markOf(message));
   let stopping = false;
   const admin = adminApp(frame, membership, () => !stopping && follower.voters() !== null && desk.registry.current() !== null);
   const clerk = new ManifestClerk(follower, store, frame.clock, settings.changeMs);
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -8,7 +8,7 @@
 import { EndpointLinks } from '../../connection/endpointLinks.js';
 import { HopPath, hopOrderShape, probeAnswerShape, probeAskShape, verdictAskShape, type HopOrder, type ProbeAnswer, type ProbeAsk, type VerdictAsk } from '../../connection/hopCalls.js';
 import { honoDoor, Listener } from '../../connection/listener.js';
-import { snapshotAskShape, NodePath, type SnapshotAsk } from '../../connection/nodeCalls.js';
+import { departureMarkShape, markAskShape, NodePath, snapshotAskShape, type DepartureMark, type MarkAsk, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { problem } from '../../connection/operators.js';
 import { orderDoor as takeOrders } from '../../connection/orderDoor.js';
 import { ownSpeech, type Speech } from '../../connection/speech.js';
@@ -19,6 +19,7 @@
 import type { Defect } from '../../process/defect.js';
 import { Delivery } from '../../process/delivery.js';
 import { LocalEndpoints } from '../../process/localEndpoints.js';
+import { MarkReplicas } from '../../process/markReplicas.js';
 import { Membership } from '../../process/membership.js';
 import { OutcomeBook } from '../../process/outcomeBook.js';
 import { Picker } from '../../process/picker.js';
@@ -46,6 +47,7 @@
   readonly readyPort?: number;
   readonly endpointAt?: Address;
   readonly leavingMs: Millis;
+  readonly losses: number;
 }
 
 /** How a switchboard meets callers, endpoints and whoever looks at its readiness. */
@@ -69,6 +71,7 @@
   readyPort: { check: Joi.number().integer().min(1).max(65535), help: 'port of a door for readiness alone; none when not given' },
   endpointAt: { check: addressShape, help: 'address of the endpoint of this machine, of the calling service: it is asked for its instance at the start' },
   leavingMs: { check: millisSetting(0, 0), help: 'how long a stopping switchboard still offers its endpoints to others' },
+  losses: { check: Joi.number().integer().min(0).max(16).default(1), help: 'how many machines may be lost at once: an endpoint\'s leaving is acknowledged when as many other processes know of it, one at least' },
   partingMs: { check: millisSetting(1500, 0), help: 'how long a stopping switchboard goes on taking orders' },
 };
 
@@ -83,7 +86,7 @@
   const membership = opened.value;
   const wire = new WireClient(settings.cluster, settings.listenHost);
   const links = new EndpointLinks(clock, settings.listenHost);
-  const endpoints = new LocalEndpoints(clock, () => reporter.changed(), (said) => links.forget(said.address, said.instance), settings.endpointBacklog);
+  const endpoints = new LocalEndpoints(clock, () => reporter.changed(), (said) => links.forget(said.address, said.instance), settings.endpointBacklog, (said) => marks.find(said));
   const delivery = new Delivery(frame, membership, wire, (rows) => {
     book.keepOnly(rows);
     picker.keepOnly(rows);
@@ -100,6 +103,9 @@
   const shares = new ShareLease(frame, membership, wire, settings.highestNodes, () => ({ wants: allowance.isWanted(), serviceShares: delivery.allowanceRules().serviceShares }));
   const allowance: Allowance = new Allowance(clock, () => delivery.allowanceRules(), () => shares.part());
   const hosting = new Hosting(frame, endpoints, delivery, links, doors.speech);
+  const marks: MarkReplicas = new MarkReplicas({
+    self: settings.node, clock, wire, replicas: Math.max(1, settings.losses), having: (role) => membership.having(role), rowOf: (instance) => delivery.rowOf(instance), isServing: (said) => hosting.isServing(said),
+  });
   const traces = new Traces(settings.tracesKept);
   const forwarder = new Forwarder(frame, { delivery, picker, book, allowance, hosting, wire, traces, speech: doors.speech, callingService: settings.callingService ?? null, random: Math.random });
   const reporter = new Reporter(frame, membership, wire, endpoints, book, () => delivery.serial(), () => delivery.listMark(), (service) => delivery.tables(service).mask?.by ?? null);
@@ -126,6 +132,8 @@
   server.on<VerdictAsk>(HopPath.verdict, verdictAskShape, (message) => hosting.verdictOf(message));
   server.on<ProbeAsk>(HopPath.probe, probeAskShape, (message) => hosting.probe(message));
   server.on<SnapshotAsk>(NodePath.snapshot, snapshotAskShape, (message) => delivery.snapshot(message));
+  server.on<DepartureMark>(NodePath.keepMark, departureMarkShape, (message) => endpoints.keepMark(message));
+  server.on<MarkAsk>(NodePath.findMark, markAskShape, (message) => endpoints.markOf(message.instance));
   const isReady = (): boolean => delivery.isReady && !closing;
   const admin = adminApp(frame, membership, isReady);
   admin.get('/v1/state', (context) => context.json({ node: settings.node, boot: frame.boot, manifest: delivery.serial(), fingerprint: Manifest.fingerprint(delivery.now().manifest), endpoints: endpoints.listed(), list: delivery.listMark(), allowance: allowance.views() }));
@@ -148,7 +156,7 @@
     failed: (error) => log.error({ event: 'internal-defect', error: error.stack }), speech: doors.speech, bodyLimit: () => delivery.now().manifest.limits.bodyBytes,
   });
   const beats = doors.beats({
-    endpoints, ownHosts: [settings.host, settings.listenHost], checkStall: () => frame.stalls.check(),
+    endpoints, marks, ownHosts: [settings.host, settings.listenHost], checkStall: () => frame.stalls.check(),
     turnedAway: (id, reason) => {
       beatsTurnedAway.inc();
       log.warn({ event: 'beat-turned-away', endpoint: id, reason });
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -5,6 +5,7 @@
 import type { Speech } from '../connection/speech.js';
 import type { Address, EndpointId, InstanceId, Instant, OrderId, Serial, ServiceName, ZoneName } from '../process/brands.js';
 import { Manifest, type Binding } from '../version/manifest.js';
+import { type Announcement, MET_SEQUENCE } from '../process/announcement.js';
 import type { LocalEndpoints, Waiting } from '../process/localEndpoints.js';
 import type { Frame } from '../process/program.js';
 import type { PlaceSettings } from '../process/settings.js';
@@ -90,16 +91,28 @@
 
   /** Asks the endpoint that this machine is told of which instance it is: a node that was restarted need not wait for its next beat. */
   async meet(address: Address, service: ServiceName, zone: ZoneName): Promise<void> {
+    if (this.endpoints.has(address)) return;
     const path = this.manifest.probeOf(service);
-    if (path === null || this.endpoints.has(address)) return;
+    const instance = await this.instanceAt(address, service);
+    if (path === null || instance === null || this.endpoints.has(address)) return;
+    this.endpoints.beat({ id: instance as EndpointId, instance: instance as InstanceId, service, address, zone, probe: path, slots: MET_SLOTS, leaving: false, nonce: '', fenced: true, sequence: MET_SEQUENCE });
+  }
+
+  /** Whether the endpoint at this address says that it serves and is this instance. */
+  async isServing({ address, service, instance }: Pick<Announcement, 'address' | 'service' | 'instance'>): Promise<boolean> {
+    return (await this.instanceAt(address, service)) === instance;
+  }
+
+  /** The instance that serves at an address, by its own word; null when it does not say so. */
+  private async instanceAt(address: Address, service: ServiceName): Promise<string | null> {
+    const path = this.manifest.probeOf(service);
+    if (path === null) return null;
     const answer = await exchangeWithEndpoint({
       agent: this.links.agentOf(address, ''), method: 'GET', url: path, headers: ['host', address, 'user-agent', 'opalstair-probe'], body: new Uint8Array(), leftMs: PROBE_MS,
       fault: () => null, read: () => ({ isOwn: null, isNotRun: false, fault: null }), onOdd: () => undefined,
     });
     this.links.forget(address, '');
-    const instance = answer.isOk() && answer.value.status === 200 ? this.speech.instanceOf(HeaderText.read(answer.value.headers)) : null;
-    if (instance === null || this.endpoints.has(address)) return;
-    this.endpoints.beat({ id: instance as EndpointId, instance: instance as InstanceId, service, address, zone, probe: path, slots: MET_SLOTS, leaving: false, nonce: '', fenced: true, sequence: -1 });
+    return answer.isOk() && answer.value.status === 200 ? this.speech.instanceOf(HeaderText.read(answer.value.headers)) : null;
   }
 
   /** From now on no order is started. */
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -3,7 +3,8 @@
 import { Chance } from '../src/fleet/chance.js';
 import type { Address, BootId, EndpointId, InstanceId, Instant, Millis, NodeName, Serial, ServiceName, ZoneName } from '../src/process/brands.js';
 import { HostVoice } from '../src/process/hostVoice.js';
-import { LocalEndpoints, type Announcement } from '../src/process/localEndpoints.js';
+import { type Announcement } from '../src/process/announcement.js';
+import { LocalEndpoints } from '../src/process/localEndpoints.js';
 import { Registry } from '../src/process/registry.js';
 import { suite } from './harness.js';
 
--- a/test/endpoints.test.ts
+++ b/test/endpoints.test.ts
@@ -7,7 +7,8 @@
 import { StandInEndpoint } from '../src/fleet/standInEndpoint.js';
 import { Address, type Instant, type InstanceId } from '../src/process/brands.js';
 import { Clock } from '../src/process/clock.js';
-import { LocalEndpoints, PROOF_MS, type Announcement } from '../src/process/localEndpoints.js';
+import { type Announcement } from '../src/process/announcement.js';
+import { LocalEndpoints, PROOF_MS } from '../src/process/localEndpoints.js';
 import { suite } from './harness.js';
 
 const { test, before, after, restore, run } = suite('endpoints');
