Let directories pass on the marks of endpoints that leave, not only of departed ones

A directory that started, or missed the acknowledging switchboard's message, heard of a leaving endpoint by its host's reports alone; where the host was killed too, it answered a host's question as one that has heard everybody out and knew less than its neighbours did. Hints and the answers between directories name leaving instances beside the departed ones now.

--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -149,7 +149,7 @@
 const departuresShape = Joi.array().items(Joi.object({ instance: text, agoMs: Joi.number().min(0).required() }));
 export const maskMessageShape = Joi.object({
   masks: Joi.array().items(maskSnapshotShape).required(), from: Joi.string().max(64), calendar: Joi.string().allow('').max(64),
-  list: Joi.object({ mark: text, silent: Joi.array().items(item).max(10_000).required(), departed: departuresShape }),
+  list: Joi.object({ mark: text, silent: Joi.array().items(item).max(10_000).required(), departed: departuresShape, leaving: departuresShape }),
 });
 
 /** What one directory tells another each second of its list of endpoints. */
@@ -159,20 +159,25 @@
   readonly silent: readonly NodeName[];
   /** What it learned lately. */
   readonly departed?: ListNews['departed'];
+  readonly leaving?: ListNews['departed'];
 }
 
 /** A host's word as one directory passes it on; `silentMs` since it came to it. */
 export interface PassedWord extends HostWord { readonly silentMs: number }
 export interface ListNews {
   readonly words: readonly PassedWord[];
-  readonly departed: readonly { readonly instance: InstanceId; readonly agoMs: number }[];
+  readonly departed: readonly MarkedInstance[];
+  /** Instances that said that they leave. */
+  readonly leaving?: readonly MarkedInstance[];
 }
+/** An instance and how long ago its mark was given. */
+export interface MarkedInstance { readonly instance: InstanceId; readonly agoMs: number }
 const passedWordShape = Joi.object({
   node: text, boot: text, life: Joi.number().required(), sequence: whole, changed: whole.allow(null), manifest: whole, isDropped: Joi.boolean().required(),
   rows: Joi.array().items(endpointRowShape).max(10_000).required(), silentMs: Joi.number().min(0).required(),
 });
 export const listNewsShape = Joi.object({
-  words: Joi.array().items(passedWordShape).required(), departed: departuresShape.required(),
+  words: Joi.array().items(passedWordShape).required(), departed: departuresShape.required(), leaving: departuresShape,
 });
 /** The answer to a mask message: words of hosts that the other does not hear, if it has any. */
 export const maskAnswerShape = Joi.object({ list: listNewsShape });
--- a/src/process/listAgreement.ts
+++ b/src/process/listAgreement.ts
@@ -60,7 +60,7 @@
 
   /** Another directory's message: what it should be told of hosts that it does not hear, and what it is to be asked. */
   hearDirectory(from: NodeName, hint: ListHint): { readonly reply: ListNews | null; readonly ask: ListAsk | null } {
-    if (hint.departed !== undefined) this.registry().learn(from, { words: [], departed: hint.departed });
+    if (hint.departed !== undefined || hint.leaving !== undefined) this.registry().learn(from, { words: [], departed: hint.departed ?? [], leaving: hint.leaving ?? [] });
     const isUnlike = hint.mark !== this.registry().listMark;
     const unlikeRun = isUnlike ? (this.peers.get(from)?.unlikeRun ?? 0) + 1 : 0;
     const isFirst = !this.peers.has(from);
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -1,4 +1,4 @@
-import type { DepartureMark, ListAsk, ListHint, ListNews, MarkAnswer, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
+import type { DepartureMark, ListAsk, ListHint, ListNews, MarkAnswer, MarkedInstance, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
 import type { EndpointSnapshot, EndpointRow } from '../version/snapshots.js';
 import { ListChanges } from '../version/listChanges.js';
 import { EndpointList, ListMark, type HostWord, type ListedWord, type ServiceMarks } from '../version/endpointList.js';
@@ -61,7 +61,7 @@
   /** Takes a report unless a later one of that node was heard; whether it changed the list. */
   hear(report: NodeReport): boolean {
     const { node, boot, life, sequence, manifest } = report;
-    report.leaving?.forEach((instance) => this.leavingAt.set(instance, this.clock.now()));
+    report.leaving?.filter((instance) => !this.leavingAt.has(instance)).forEach((instance) => this.leavingAt.set(instance, this.clock.now()));
     const rows = report.rows.map((row) => (this.isRevived(row) ? { ...row, leaving: true } : row));
     const known = this.list.word(node);
     const canNotRise = report.changed === undefined && known !== undefined && known.boot !== boot && this.isSilent(node);
@@ -73,7 +73,7 @@
 
   /** Keeps a mark that a switchboard is about to acknowledge; whether it changed the list. */
   keepMark({ instance, state }: DepartureMark): boolean {
-    this.leavingAt.set(instance, this.clock.now());
+    if (!this.leavingAt.has(instance)) this.leavingAt.set(instance, this.clock.now());
     return state === 'departed' && this.take({ words: [], departed: [{ instance, agoMs: 0 }] }, null);
   }
 
@@ -155,8 +155,10 @@
     const now = this.clock.now();
     const mostMs = this.hints % SELDOM === 0 ? MARKS_KEPT_MS : ASKED_EACH_MS;
     const isUnheard = (node: NodeName): boolean => now - (this.reportedAt.get(node) ?? -Infinity) > this.lapseMs * HEARD_PART;
-    const departed = this.departures().filter(({ agoMs }) => agoMs < DEPARTED_TOLD_MS);
-    return { mark: this.wholeMark, ...(departed.length > 0 ? { departed } : {}), silent: this.list.words().filter(({ node }) => isUnheard(node) && this.silentMs(node) <= mostMs).map(({ node }) => node) };
+    const isNew = ({ agoMs }: MarkedInstance): boolean => agoMs < DEPARTED_TOLD_MS;
+    const departed = this.marked(this.departedAt).filter(isNew);
+    const leaving = this.marked(this.leavingAt).filter(isNew);
+    return { mark: this.wholeMark, ...(departed.length > 0 ? { departed } : {}), ...(leaving.length > 0 ? { leaving } : {}), silent: this.list.words().filter(({ node }) => isUnheard(node) && this.silentMs(node) <= mostMs).map(({ node }) => node) };
   }
 
   /** The words that this directory has itself from hosts that another does not hear; null when there are none. */
@@ -175,11 +177,15 @@
 
   /** What a directory with other marks lacks. */
   answer(ask: ListAsk): ListNews {
-    return { words: this.list.wordsFor(ListMark.unlike(this.serviceMarks, ask.services)).map((word) => this.passed(word)), departed: this.departures() };
+    return { words: this.list.wordsFor(ListMark.unlike(this.serviceMarks, ask.services)).map((word) => this.passed(word)), departed: this.marked(this.departedAt), leaving: this.marked(this.leavingAt) };
   }
 
   /** Joins what another directory has; whether it changed the list. */
   learn(from: NodeName, news: ListNews): boolean {
+    const now = this.clock.now();
+    for (const { instance, agoMs } of news.leaving ?? []) {
+      if (agoMs < MARKS_KEPT_MS && !this.leavingAt.has(instance)) this.leavingAt.set(instance, (now - agoMs) as Instant);
+    }
     return this.take(news, from);
   }
 
@@ -216,9 +222,9 @@
     this.tell({ kind, node, why, endpoints: (this.list.word(node)?.rows ?? []).map((row) => row.id) });
   }
 
-  private departures(): ListNews['departed'] {
+  private marked(table: ReadonlyMap<InstanceId, Instant>): readonly MarkedInstance[] {
     const now = this.clock.now();
-    return [...this.departedAt].map(([instance, at]) => ({ instance, agoMs: now - at }));
+    return [...table].map(([instance, at]) => ({ instance, agoMs: now - at }));
   }
 
   private passed(word: HostWord): PassedWord {
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -144,6 +144,20 @@
   assert.equal(local.listed().map(({ leaving }) => leaving), [true]);
 });
 
+// Guards against a directory that starts and answers for marks which only the others were told of.
+test('directories pass marks on to each other, those of endpoints that leave as well as those that departed', () => {
+  const clock = { now: () => 0 as Instant };
+  const [told, asking, hinted] = ['d1', 'd2', 'd3'].map((boot) => new Registry(boot as BootId, clock, LAPSE_MS, 0 as Millis, () => undefined)) as [Registry, Registry, Registry];
+  told.keepMark({ instance: 'i-1' as InstanceId, state: 'leaving' });
+  told.keepMark({ instance: 'i-2' as InstanceId, state: 'departed' });
+  asking.learn('d1' as NodeName, told.answer(asking.askFor('d2' as NodeName)));
+  const { departed = [], leaving = [] } = told.hint();
+  hinted.learn('d1' as NodeName, { words: [], departed, leaving });
+  for (const registry of [told, asking, hinted]) {
+    assert.equal(['i-1', 'i-2', 'i-3'].map((instance) => registry.markOf(instance as InstanceId).state), ['leaving', 'departed', null]);
+  }
+});
+
 test('a departure of an instance that nobody knew is kept, until no late heartbeat can come; too many are refused', async () => {
   let now = 0;
   const local = new LocalEndpoints({ now: () => now as Instant }, () => undefined);
