Ask for no marks in the first start of all: nobody can have left before

A switchboard that hears of an endpoint asks directories and four other switchboards for a mark. When all machines start at once for the first time that would be nine questions from each of 195 machines, again each 0.3 s until a directory has heard all of them out.

--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -71,6 +71,8 @@
   readonly sidecars = new Map<string, Daemon>();
   readonly endpoints: PlatformEndpoint[] = [];
   private requestCount = 0;
+  /** Lays the settings files of all processes as they are after the first start. */
+  private readonly layAnew: (() => void)[] = [];
 
   private readonly backlog: number;
 
@@ -93,6 +95,7 @@
     await Promise.all([...fleet.ratebooks.values(), ...fleet.directories.values()].map((daemon) =>
       until(`${daemon.program} ${daemon.adminAddress} ready`, () => callJson('GET', `http://${daemon.adminAddress}/ready`).then((answer) => answer.status === 200, () => false))));
     await until('an owner of the configuration', async () => (await fleet.read()).status === 404);
+    fleet.layAnew.forEach((lay) => lay());
     return fleet;
   }
 
@@ -107,13 +110,13 @@
   }
 
   /** The fields that the platform fills templates from, for one machine. */
-  fields(machine: PlatformMachine): Fields {
+  fields(machine: PlatformMachine, isInitialStart = true): Fields {
     const at = (port: number): string => `${machine.host}:${port}`;
     const { internal, outbound, inbound, control, readiness } = PLATFORM_PORTS;
     return {
       node_name: machine.name, zone: 'zone1', ip_address: machine.host, service: machine.service, application: at(PLATFORM_PORTS.application), seed_nodes: this.cores.map((core) => `${core.host}:${control}`),
       internal_ports: [internal, internal + 9], listen_addresses: { outbound: at(outbound), inbound: at(inbound), control_plane: at(control), readiness: at(readiness) },
-      data_directory: join(this.folder, machine.name), limits: { disk_space_mb: 256 }, fault_tolerance: { machine_losses: 1 }, initial_start: true,
+      data_directory: join(this.folder, machine.name), limits: { disk_space_mb: 256 }, fault_tolerance: { machine_losses: 1 }, initial_start: isInitialStart,
       bounds: { retry_budget_ratio: 0.2, retry_allowance: 60 },
     };
   }
@@ -210,10 +213,14 @@
 
   /** Lays a process's settings file as the platform does, and makes the process; its log says when it listens. */
   private daemon(program: 'core' | 'sidecar' | 'ratebook', template: string, machine: PlatformMachine, adminPort: number): Daemon {
-    const filled = fillTemplate(readFileSync(join(templateFolder, `${template}.json`), 'utf8'), this.fields(machine));
-    if (filled.isErr()) throw new Error(filled.error.describe());
     const file = join(this.folder, `${machine.name}-${template}.json`);
-    writeFileSync(file, filled.value);
+    const lay = (isInitialStart: boolean): void => {
+      const filled = fillTemplate(readFileSync(join(templateFolder, `${template}.json`), 'utf8'), this.fields(machine, isInitialStart));
+      if (filled.isErr()) throw new Error(filled.error.describe());
+      writeFileSync(file, filled.value);
+    };
+    lay(true);
+    this.layAnew.push(() => lay(false));
     const few = program === 'sidecar' ? ['--rehearsed-orders', String(REHEARSED), '--endpoint-backlog', String(this.backlog)] : [];
     const daemon = new Daemon(program, ['--settings', file, '--log-level', 'info', ...few], `${machine.host}:${adminPort}`);
     if (program !== 'ratebook') daemon.programs = join(distFolder, 'platform');
--- a/src/process/freshness.ts
+++ b/src/process/freshness.ts
@@ -24,7 +24,7 @@
   lose(): void {
     this.unsureSince = this.clock.now();
     this.isVouchedFor = false;
-    this.heardAt = -Infinity as Instant;
+    this.heardAt = (this.unsureSince - HEARD_MS) as Instant;
   }
 
   /** A current directory answered a question that was asked at `askedAt`; whether it is the first to vouch since touch was lost. */
--- a/src/process/markReplicas.ts
+++ b/src/process/markReplicas.ts
@@ -35,6 +35,8 @@
   readonly wire: Pick<WireClient, 'call'>;
   /** How many other processes must hold a mark before it is acknowledged. */
   readonly replicas: number;
+  /** Whether the whole mesh starts for the first time: nobody can have left before. */
+  readonly isFirstStart: boolean;
   /** The endpoint's row in the list that this node goes by. */
   readonly rowOf: (instance: InstanceId) => EndpointRow | null;
   /** Whether the endpoint itself says at this address that it is this instance and serves. */
@@ -48,8 +50,11 @@
  */
 export class MarkReplicas {
   private readonly keptAt = new Map<string, Instant>();
+  private readonly startedAt: Instant;
 
-  constructor(private readonly parts: MarkParts) {}
+  constructor(private readonly parts: MarkParts) {
+    this.startedAt = parts.clock.now();
+  }
 
   /** Resolves once enough other processes hold the mark, and the endpoint's own host if that is another node. */
   async keep(mark: DepartureMark): Promise<Result<void, TooFewReplicas>> {
@@ -70,6 +75,7 @@
    */
   async find(said: { readonly instance: InstanceId; readonly service: EndpointRow['service']; readonly address: Address }): Promise<DepartureMark['state'] | null> {
     const start = this.parts.clock.now();
+    if (this.parts.isFirstStart && start - this.startedAt < LATE_HEARTBEAT_MS) return null;
     for (;;) {
       const answers = await this.askAll(said.instance);
       const marks = answers.flatMap(({ state }) => (state === null ? [] : [state]));
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -48,6 +48,7 @@
   readonly endpointAt?: Address;
   readonly leavingMs: Millis;
   readonly losses: number;
+  readonly firstStart: boolean;
 }
 
 /** How a switchboard meets callers, endpoints and whoever looks at its readiness. */
@@ -72,6 +73,7 @@
   endpointAt: { check: addressShape, help: 'address of the endpoint of this machine, of the calling service: it is asked for its instance at the start' },
   leavingMs: { check: millisSetting(0, 0), help: 'how long a stopping switchboard still offers its endpoints to others' },
   losses: { check: Joi.number().integer().min(0).max(16).default(1), help: 'how many machines may be lost at once: an endpoint\'s leaving is acknowledged when as many other processes know of it, one at least' },
+  firstStart: { check: Joi.boolean().default(false), help: 'whether the whole mesh starts for the first time: no endpoint can have left before' },
   partingMs: { check: millisSetting(1500, 0), help: 'how long a stopping switchboard goes on taking orders' },
 };
 
@@ -104,7 +106,7 @@
   const allowance: Allowance = new Allowance(clock, () => delivery.allowanceRules(), () => shares.part());
   const hosting = new Hosting(frame, endpoints, delivery, links, doors.speech);
   const marks: MarkReplicas = new MarkReplicas({
-    self: settings.node, clock, wire, replicas: Math.max(1, settings.losses), having: (role) => membership.having(role), rowOf: (instance) => delivery.rowOf(instance), isServing: (said) => hosting.isServing(said),
+    self: settings.node, clock, wire, replicas: Math.max(1, settings.losses), isFirstStart: settings.firstStart, having: (role) => membership.having(role), rowOf: (instance) => delivery.rowOf(instance), isServing: (said) => hosting.isServing(said),
   });
   const traces = new Traces(settings.tracesKept);
   const forwarder = new Forwarder(frame, { delivery, picker, book, allowance, hosting, wire, traces, speech: doors.speech, callingService: settings.callingService ?? null, random: Math.random });
