Tell marks again to switchboards that should hold them and were started since

A mark of departure was given to its holders once. Each holder now tells the two switchboards that rank first for the instance, whenever processes have come or gone, unless it has told that very boot already.

Test: markReplicas, seeded runs over hosts, directories and endpoints with late and doubled heartbeats, false health answers, departures at other nodes, processes killed in series, the whole core with a host, machines cut off; then a calm time after which every endpoint that has not left must be listed.

--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -136,6 +136,11 @@
     return { isKept: true };
   }
 
+  /** Every mark that this host holds, its own endpoints' and others'. */
+  marks(): readonly DepartureMark[] {
+    return [...this.leavingLately().map((instance) => ({ instance, state: 'leaving' as const })), ...this.departedLately().map((instance) => ({ instance, state: 'departed' as const }))];
+  }
+
   /** The mark that this host holds of an instance; it knows of no other host's. */
   markOf(instance: InstanceId): MarkAnswer {
     const state = this.departures.hasDeparted(instance) ? 'departed' : this.departures.isLeaving(instance) ? 'leaving' : null;
--- a/src/process/markReplicas.ts
+++ b/src/process/markReplicas.ts
@@ -3,7 +3,7 @@
 import { markAnswerShape, markKeptShape, NodePath, type DepartureMark, type MarkAnswer, type MarkAsk, type MarkKept } from '../connection/nodeCalls.js';
 import type { WireClient } from '../connection/wire.js';
 import type { EndpointRow } from '../version/snapshots.js';
-import type { Address, InstanceId, Instant } from './brands.js';
+import type { Address, BootId, InstanceId, Instant } from './brands.js';
 import type { Clock } from './clock.js';
 import { Defect } from './defect.js';
 import type { Member, Role } from './members.js';
@@ -27,6 +27,8 @@
   readonly kind = 'too-few-replicas';
 }
 
+const keyOf = ({ state, instance }: DepartureMark): string => `${state}/${instance}`;
+
 /** What the replicas of a mark need of the process around them. */
 export interface MarkParts {
   readonly self: string;
@@ -37,6 +39,8 @@
   readonly replicas: number;
   /** Whether the whole mesh starts for the first time: nobody can have left before. */
   readonly isFirstStart: boolean;
+  /** The marks that this process holds itself. */
+  readonly held: () => readonly DepartureMark[];
   /** The endpoint's row in the list that this node goes by. */
   readonly rowOf: (instance: InstanceId) => EndpointRow | null;
   /** Whether the endpoint itself says at this address that it is this instance and serves. */
@@ -51,6 +55,8 @@
 export class MarkReplicas {
   private readonly keptAt = new Map<string, Instant>();
   private readonly startedAt: Instant;
+  /** The processes that hold a mark, by the mark: a later boot of one has forgotten it. */
+  private holders: ReadonlyMap<string, ReadonlySet<BootId>> = new Map();
 
   constructor(private readonly parts: MarkParts) {
     this.startedAt = parts.clock.now();
@@ -58,7 +64,7 @@
 
   /** Resolves once enough other processes hold the mark, and the endpoint's own host if that is another node. */
   async keep(mark: DepartureMark): Promise<Result<void, TooFewReplicas>> {
-    const key = `${mark.state}/${mark.instance}`;
+    const key = keyOf(mark);
     if (this.parts.clock.now() - (this.keptAt.get(key) ?? -Infinity) < KEPT_REMEMBERED_MS) return ok(undefined);
     const host = this.hostOf(mark.instance);
     const holders = this.addressesFor(mark.instance, SWITCHBOARDS_HOLDING);
@@ -87,6 +93,22 @@
     }
   }
 
+  /** Tells the switchboards that should hold a mark which is held here, and have come, or come back, since it was given. */
+  async repair(): Promise<void> {
+    const held = this.parts.held();
+    const former = this.holders;
+    this.holders = new Map(held.map((mark) => [keyOf(mark), former.get(keyOf(mark)) ?? new Set<BootId>()]));
+    await Promise.all(held.map((mark) => this.repairOne(mark)));
+  }
+
+  private async repairOne(mark: DepartureMark): Promise<void> {
+    const lacking = this.ranked(mark.instance, SWITCHBOARDS_HOLDING).filter(({ boot }) => this.holders.get(keyOf(mark))?.has(boot) === false);
+    await Promise.all(lacking.map(async ({ wire, boot }) => {
+      const answer = await this.parts.wire.call<MarkKept>(wire, NodePath.keepMark, mark, KEEP_MS, markKeptShape);
+      if (answer.isOk() && answer.value.isKept) this.holders = new Map([...this.holders, [keyOf(mark), new Set([...(this.holders.get(keyOf(mark)) ?? []), boot])]]);
+    }));
+  }
+
   private isKeptByEnough(asked: readonly Address[], host: Address | null, mark: DepartureMark): Promise<boolean> {
     return new Promise((settle) => {
       let kept = 0;
@@ -116,9 +138,14 @@
 
   /** Every directory, and the switchboards whose names rank first for this instance. */
   private addressesFor(instance: InstanceId, switchboards: number): readonly Address[] {
+    return [...this.parts.having('directory'), ...this.ranked(instance, switchboards)].map(({ wire }) => wire);
+  }
+
+  /** The other switchboards whose names rank first for this instance: the same ones wherever the same processes are known. */
+  private ranked(instance: InstanceId, most: number): readonly Member[] {
     const rank = ({ name }: Member): string => createHash('sha256').update(`${instance}/${name}`).digest('hex');
     const ranked = this.parts.having('switchboard').filter(({ name }) => name !== this.parts.self).map((member) => ({ member, place: rank(member) })).sort((one, other) => (one.place < other.place ? -1 : 1));
-    return [...this.parts.having('directory'), ...ranked.slice(0, switchboards).map(({ member }) => member)].map(({ wire }) => wire);
+    return ranked.slice(0, most).map(({ member }) => member);
   }
 
   private hostOf(instance: InstanceId): Address | null {
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -78,6 +78,8 @@
 };
 
 const MOST_HEADER_BYTES = 64 * 1024;
+/** Marks of departure are looked after so soon after other processes have come or gone, in milliseconds. */
+const REPAIR_MS = 500;
 
 const explainShape = Joi.object({ method: Joi.string().required(), url: Joi.string().required(), host: Joi.string().allow('').required() });
 
@@ -106,7 +108,7 @@
   const allowance: Allowance = new Allowance(clock, () => delivery.allowanceRules(), () => shares.part());
   const hosting = new Hosting(frame, endpoints, delivery, links, doors.speech);
   const marks: MarkReplicas = new MarkReplicas({
-    self: settings.node, clock, wire, replicas: Math.max(1, settings.losses), isFirstStart: settings.firstStart, having: (role) => membership.having(role), rowOf: (instance) => delivery.rowOf(instance), isServing: (said) => hosting.isServing(said),
+    self: settings.node, clock, wire, replicas: Math.max(1, settings.losses), isFirstStart: settings.firstStart, held: () => endpoints.marks(), having: (role) => membership.having(role), rowOf: (instance) => delivery.rowOf(instance), isServing: (said) => hosting.isServing(said),
   });
   const traces = new Traces(settings.tracesKept);
   const forwarder = new Forwarder(frame, { delivery, picker, book, allowance, hosting, wire, traces, speech: doors.speech, callingService: settings.callingService ?? null, random: Math.random });
@@ -182,6 +184,13 @@
     orderDoor.keepIdle(delivery.now().manifest.limits.idleMs);
   }, 500).unref();
   setInterval(() => void probeOverdue(), 1000).unref();
+  let hasNewMembers = false;
+  membership.onChange(() => { hasNewMembers = true; });
+  setInterval(() => {
+    if (!hasNewMembers) return;
+    hasNewMembers = false;
+    void marks.repair();
+  }, REPAIR_MS).unref();
   log.info({ event: 'listening', wire: wireDoor.address, admin: adminDoor.address, orders: orderDoor.address, beats: beatDoor.address });
   return ok({
     stop: async () => {
