--- a/test/run.ts
+++ b/test/run.ts
@@ -18,6 +18,7 @@
 uvu.UVU_QUEUE = [];
 const { exec } = await import('uvu');
 const { catchStrays, fail, results } = await import('./harness.js');
+const { knownRed } = await import('./knownRed.js');
 let isWhole = false;
 process.on('exit', () => {
   if (!isWhole) fail('the run ended before its last test', 'nothing was left to wait for, or the process was told to exit');
@@ -34,6 +35,7 @@
     fail(`${name}: could not be loaded`, error);
   }
 }
+if (wanted.length === 0 && (process.env['ONLY'] ?? '') === '') knownRed.unmet().forEach((name) => fail(`KNOWN-RED.txt: ${name}`, 'there is no such test'));
 await exec();
 isWhole = true;
 process.exit();
