--- a/test/nearness.test.ts
+++ b/test/nearness.test.ts
@@ -2,7 +2,7 @@
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 import * as assert from 'uvu/assert';
-import type { NodeNews, NodePoll, OutcomeReport, OutcomeRow } from '../src/connection/nodeCalls.js';
+import type { NodeNews, NodePoll, OutcomeReport, OutcomeRow, SnapshotAsk } from '../src/connection/nodeCalls.js';
 import { NodePath } from '../src/connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../src/connection/wire.js';
 import { until } from '../src/fleet/fleet.js';
@@ -93,6 +93,28 @@
   delivery.stop();
 });
 
+// Guards against links that fill up with the same lists from every neighbour that is asked.
+test('of the neighbours that a node asks one is asked for its list, and tells it only if it is another one that a directory vouches for', async () => {
+  const clock = { at: 1000 };
+  const { sent, wire } = heldWire();
+  const neighbours = Array.from({ length: 6 }, (_, index) => ({ name: `app${index + 2}`, zone: 'a', wire: `10.0.1.${index}:1`, boot: `a${index}` }));
+  const many = { having: (role: string) => (role === 'directory' ? directories : neighbours), onChange: () => undefined } as unknown as Membership;
+  const delivery = new Delivery(frameAt(clock), many, wire, () => undefined, () => undefined);
+  delivery.start();
+  await until('the directories are asked', () => sent.length >= 2);
+  sent.find(({ address }) => address === FAR)?.answer(ok(newsWith(listOf('f', 5, [rowOf('e1')]))));
+  await until('it has a list', () => delivery.listMark() !== '');
+  const mark = delivery.listMark();
+  assert.equal([{}, { listMark: '' }, { listMark: 'other' }, { listMark: mark }, { wantsList: false }].map((ask) => delivery.snapshot(ask).endpoints !== null), [true, true, true, false, false]);
+  clock.at += 2000;
+  assert.is(delivery.snapshot({ listMark: 'other' }).endpoints, null, 'no directory vouches for it any more');
+  assert.ok(delivery.snapshot({ listMark: '' }).endpoints !== null, 'to a node that has none it is better than nothing');
+  const asks = (): readonly SnapshotAsk[] => sent.filter(({ path }) => path === NodePath.snapshot).map(({ message }) => message as SnapshotAsk);
+  await until('neighbours are asked', () => asks().length === 5);
+  assert.equal(asks().map(({ wantsList, listMark }) => [wantsList, listMark]), [[true, mark], ...Array.from({ length: 4 }, () => [false, mark])]);
+  delivery.stop();
+});
+
 test('successes go to the directory that merges the service, failures to all; to all while nobody or somebody unknown merges', async () => {
   const { sent, wire } = heldWire();
   const rowFor = (service: string): OutcomeRow => ({ service, endpoint: `${service}1`, instance: 'i', calls: 3, failures: 0, turnAways: 0, pathDefects: 0, recent: [] }) as unknown as OutcomeRow;
