Measure the age of the evidence behind denials, and the time from a commit to its force

Logs and metrics could not tell apart whether a node that denies a route goes by old evidence or hears late. Answers now say when a ratebook learned of the commit, as a moment relative to the question, so that no clocks are compared and the way counts.

--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -3,6 +3,7 @@
 import type { HostWord, ServiceMarks } from '../version/endpointList.js';
 import { LatencyHistogram } from '../version/latencyHistogram.js';
 import { rolloutSnapshotShape, type RolloutSnapshot } from '../version/rollout.js';
+import type { ToldMoment } from '../process/moment.js';
 import type { RolloutProgress } from '../process/versionRouter.js';
 import { endpointSnapshotShape, endpointRowShape, manifestSnapshotShape, maskSnapshotShape, type EndpointSnapshot, type EndpointRow, type ManifestSnapshot, type MaskSnapshot } from '../version/snapshots.js';
 
@@ -45,10 +46,12 @@
   readonly isCurrent: boolean;
   readonly isWarming?: boolean;
   readonly rollouts?: RolloutSnapshot;
+  /** When a ratebook learned that the manifest is committed, or earlier; with a manifest from a directory. */
+  readonly committedAt?: ToldMoment;
 }
 export const nodeNewsShape = Joi.object({
   manifest: manifestSnapshotShape.allow(null).required(), endpoints: endpointSnapshotShape.allow(null).required(),
-  masks: Joi.array().items(maskSnapshotShape).required(), isCurrent: Joi.boolean().required(), isWarming: Joi.boolean(), rollouts: rolloutSnapshotShape,
+  masks: Joi.array().items(maskSnapshotShape).required(), isCurrent: Joi.boolean().required(), isWarming: Joi.boolean(), rollouts: rolloutSnapshotShape, committedAt: Joi.number(),
 });
 
 /** What a neighbour is asked for: a manifest later than the one that the asker has, its masks, and its list of endpoints. */
--- a/src/connection/storeCalls.ts
+++ b/src/connection/storeCalls.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result, type ResultAsync } from 'neverthrow';
 import type { Address, ChangeId, DiskId, KeyName, Serial } from '../process/brands.js';
 import type { Defect } from '../process/defect.js';
+import type { ToldMoment } from '../process/moment.js';
 import { DamagedKey } from '../process/replica.js';
 import { DiskFull } from '../process/disk.js';
 import { NoVote, OldRoster, type AskScope } from '../process/quorum.js';
@@ -66,9 +67,11 @@
 /** `isCurrent` is what this ratebook said last: a change of it is news. */
 export interface PollMessage { readonly manifest: Serial; readonly roster: Serial; /** Absent in asks of the former release, which takes no rollouts. */ readonly rollouts?: Serial; readonly waitMs: number; readonly isCurrent?: boolean }
 export const pollShape = Joi.object({ manifest: whole, roster: whole, rollouts: Joi.number().integer().min(0), waitMs: Joi.number().min(0).max(30_000).required(), isCurrent: Joi.boolean() });
+/** An entry and when this ratebook learned that it is committed; the former release does not say it. */
+export interface CommittedNews extends CommittedMessage { readonly learnedAt?: ToldMoment }
 /** `isCurrent` says that this ratebook has lately heard from a majority and knows all that it had committed. */
-export interface PollAnswer { readonly entries: readonly CommittedMessage[]; readonly isCurrent: boolean }
-export const pollAnswerShape = Joi.object({ entries: Joi.array().items(committedShape).required(), isCurrent: Joi.boolean().required() });
+export interface PollAnswer { readonly entries: readonly CommittedNews[]; readonly isCurrent: boolean }
+export const pollAnswerShape = Joi.object({ entries: Joi.array().items(committedShape.keys({ learnedAt: Joi.number() })).required(), isCurrent: Joi.boolean().required() });
 
 interface ReplyMessage { readonly reply?: RegisterReply; readonly defect?: string; readonly detail?: string }
 const replyShape = Joi.object({ reply: Joi.object({ kind: Joi.string().required() }), defect: Joi.string(), detail: Joi.string().allow('') });
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -8,6 +8,7 @@
 import { Address, type DiskId, type Epoch, type Instant, type KeyName, type Millis, type Serial } from './brands.js';
 import type { Defect } from './defect.js';
 import { LEASE } from './keyHolder.js';
+import { Moment, type ToldMoment } from './moment.js';
 import { KeyOwner, type ChangeDefect } from './keyOwner.js';
 import type { Membership } from './membership.js';
 import type { Frame } from './program.js';
@@ -44,6 +45,7 @@
 /** One ratebook's part in the control state: its replica, the keys that it owns, what it knows to be committed. */
 export class Bookkeeper implements VoterLink {
   private committedEntries: ReadonlyMap<KeyName, Entry> = new Map();
+  private readonly learnedAt = new Map<KeyName, Instant>();
   private readonly owners: ReadonlyMap<KeyName, KeyOwner>;
   private readonly rosterOwner: KeyOwner;
   private readonly rosterKeeper: RosterKeeper;
@@ -151,6 +153,7 @@
     const known = this.committedEntries.get(message.key);
     if (known !== undefined && known.serial >= message.entry.serial) return;
     this.committedEntries = new Map([...this.committedEntries, [message.key, message.entry]]);
+    this.learnedAt.set(message.key, this.frame.clock.now());
     this.pollers.wake();
   }
 
@@ -160,8 +163,10 @@
       const news = this.newsFor(message);
       return news.length > 0 || this.isStopping || message.isCurrent === !this.isCurrent() ? news : null;
     };
-    const entries = await this.pollers.until(look, message.waitMs as Millis);
-    return { entries: entries ?? [], isCurrent: this.isCurrent() };
+    const readAt = this.frame.clock.now();
+    const entries = (await this.pollers.until(look, message.waitMs as Millis)) ?? [];
+    const learnedAt = (key: KeyName): ToldMoment => Moment.tell(this.learnedAt.get(key) ?? readAt, readAt);
+    return { entries: entries.map((news) => ({ ...news, learnedAt: learnedAt(news.key) })), isCurrent: this.isCurrent() };
   }
 
   async stop(): Promise<void> {
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -10,10 +10,12 @@
 import type { Address, BootId, InstanceId, Instant, Millis, Serial, ServiceName } from './brands.js';
 import { Freshness, UNSURE_MS } from './freshness.js';
 import type { Member } from './members.js';
+import { Moment } from './moment.js';
 import type { Membership } from './membership.js';
 import type { Frame } from './program.js';
 import type { PickTables } from './picker.js';
 import type { PlaceSettings } from './settings.js';
+import { COMMIT_BUCKETS } from './storeFollower.js';
 import type { Result } from 'neverthrow';
 
 /** A directory that died at an acknowledgement is noticed after both, and all others are asked at once: well below 2 s. */
@@ -81,6 +83,7 @@
   private hasLostTouch = false;
   private readonly lastDefects = new Map<Address, string>();
   private readonly pollTime: Histogram;
+  private readonly commitTimes: Histogram;
 
   constructor(private readonly frame: Frame<PlaceSettings & { readonly firstStart?: boolean }>, private readonly membership: Membership, private readonly wire: WireClient, private readonly onEndpoints: (rows: readonly EndpointRow[]) => void, private readonly onUnmasked: (rows: readonly EndpointRow[]) => void, private readonly onRollouts: (rollouts: RolloutSnapshot) => void = () => undefined) {
     const registers = [frame.metrics];
@@ -93,6 +96,7 @@
     const masked = (): ReadonlyMap<ServiceName, MaskSnapshot> => this.masks;
     new Gauge({ name: 'opalstair_masked_endpoints', help: 'Endpoints masked for all callers', labelNames: ['service'], registers, collect() { masked().forEach((mask, service) => this.set({ service }, mask.entries.length)); } });
     this.pollTime = new Histogram({ name: 'opalstair_poll_seconds', help: 'Time that a directory took to answer, held questions included', registers, buckets: [0.01, 0.1, 0.5, 1, 2] });
+    this.commitTimes = new Histogram({ name: 'opalstair_commit_force_seconds', help: 'From a commit being known at a ratebook to its being in force here, the way of the question included', registers, buckets: COMMIT_BUCKETS });
     frame.stalls.onStall((gap) => {
       if (gap >= LONG_STALL_MS) this.freshness.lose();
       this.refreshed = this.askOnce();
@@ -122,6 +126,11 @@
     return this.freshness.isUnsure;
   }
 
+  /** Milliseconds since a current directory last answered: how old what this node denies by may be. */
+  get evidenceAgeMs(): number {
+    return this.freshness.silentMs;
+  }
+
   /** Whether a current directory vouches for the manifest in force: only then does a path without a binding have none. */
   get isVouchedFor(): boolean {
     return this.freshness.hearsDirectory;
@@ -324,15 +333,19 @@
   /** A directory's answer; the list of one that is still warming counts only from the one that is followed. */
   private hear(news: NodeNews, directory: Address, askedAt: Instant, heardAt: Instant): void {
     if (news.isCurrent && this.freshness.hear(askedAt, heardAt)) this.chosenDirectory = directory;
-    this.learn(news.isWarming === true && directory !== this.chosenDirectory ? { ...news, endpoints: null } : news, true);
+    this.learn(news.isWarming === true && directory !== this.chosenDirectory ? { ...news, endpoints: null } : news, true, news.committedAt === undefined ? null : Moment.heard(news.committedAt, askedAt));
+  }
+
+  private enforce(manifest: ManifestSnapshot, committedAt: Instant | null): void {
+    this.inForce = InForce.of(manifest);
+    const sinceCommitMs = committedAt === null ? null : this.frame.clock.now() - committedAt;
+    if (sinceCommitMs !== null) this.commitTimes.observe(sinceCommitMs / 1000);
+    this.frame.log.info({ event: 'manifest-in-force', serial: manifest.serial, ...(sinceCommitMs === null ? {} : { sinceCommitMs: Math.round(sinceCommitMs) }) });
   }
 
   /** Takes what is later; a neighbour's list is no base for a directory's differences. */
-  private learn(news: NodeNews, isDirectory: boolean): void {
-    if (news.manifest !== null && news.manifest.serial > this.inForce.serial) {
-      this.inForce = InForce.of(news.manifest);
-      this.frame.log.info({ event: 'manifest-in-force', serial: this.inForce.serial });
-    }
+  private learn(news: NodeNews, isDirectory: boolean, committedAt: Instant | null = null): void {
+    if (news.manifest !== null && news.manifest.serial > this.inForce.serial) this.enforce(news.manifest, committedAt);
     if (news.rollouts !== undefined && news.rollouts.serial > (this.rollouts?.serial ?? 0)) {
       this.rollouts = news.rollouts;
       this.onRollouts(news.rollouts);
@@ -362,4 +375,4 @@
 }
 
 /** What a request's way asks of the tables in force. */
-export type TablesInForce = Pick<Delivery, 'proven' | 'isUnsure' | 'isVouchedFor' | 'now' | 'tables' | 'reach'>;
+export type TablesInForce = Pick<Delivery, 'proven' | 'isUnsure' | 'isVouchedFor' | 'evidenceAgeMs' | 'now' | 'tables' | 'reach'>;
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -4,10 +4,11 @@
 import { MaskSnapshot, type EndpointRow } from '../version/snapshots.js';
 import { Windows } from '../version/windows.js';
 import { Manifest, type HealthRules } from '../version/manifest.js';
-import type { Epoch, KeyName, Millis, NodeName, ServiceName } from './brands.js';
+import type { Epoch, Instant, KeyName, Millis, NodeName, ServiceName } from './brands.js';
 import type { Duties } from './duties.js';
 import { ListAgreement } from './listAgreement.js';
 import { MaskDuty } from './maskDuty.js';
+import { Moment } from './moment.js';
 import { OutcomeMerger } from './outcomeMerger.js';
 import type { Frame } from './program.js';
 import { Registry } from './registry.js';
@@ -170,15 +171,16 @@
 
   /** Answers a node when there is news; one that starts, when this directory is in touch with a majority. */
   async poll(message: NodePoll): Promise<NodeNews> {
+    const readAt = this.frame.clock.now();
     this.noteForce(message);
     if (message.masks.some((had) => this.isUnknown(had))) this.masks.learn(await this.links.masksOf([message.node]));
     const look = (): NodeNews | null => {
-      const news = this.newsFor(message);
+      const news = this.newsFor(message, readAt);
       const hasNews = news.manifest !== null || news.endpoints !== null || news.masks.length > 0 || news.rollouts !== undefined;
       const isEnough = news.isCurrent ? hasNews : message.manifest > 0;
       return isEnough || this.isStopping ? news : null;
     };
-    return (await this.news.until(look, message.waitMs as Millis)) ?? this.newsFor(message);
+    return (await this.news.until(look, message.waitMs as Millis)) ?? this.newsFor(message, readAt);
   }
 
   stop(): void {
@@ -217,8 +219,9 @@
     return known === undefined || had.epoch > known.epoch || (had.epoch === known.epoch && had.serial > known.serial);
   }
 
-  private newsFor(message: NodePoll): NodeNews {
+  private newsFor(message: NodePoll, readAt: Instant): NodeNews {
     const manifest = this.follower.manifest();
+    const committedAt = this.follower.manifestLearnedAt();
     const rollouts = this.follower.rollouts();
     const warm = this.registry.current();
     const hasNone = message.directory === '' || message.directory === this.frame.boot;
@@ -230,7 +233,7 @@
       const had = message.masks.find((one) => one.service === mask.service);
       return had === undefined || mask.epoch > had.epoch || (mask.epoch === had.epoch && mask.serial > had.serial);
     });
-    return { manifest: manifest !== null && manifest.serial > message.manifest ? { serial: manifest.serial, manifest: { ...manifest.manifest, source: null } } : null, endpoints: hasEndpoints ? null : difference ?? endpoints, masks, isCurrent: this.follower.isCurrent(), isWarming: warm === null,
+    return { manifest: manifest !== null && manifest.serial > message.manifest ? { serial: manifest.serial, manifest: { ...manifest.manifest, source: null } } : null, endpoints: hasEndpoints ? null : difference ?? endpoints, masks, isCurrent: this.follower.isCurrent(), isWarming: warm === null, ...(committedAt === null ? {} : { committedAt: Moment.tell(committedAt, readAt) }),
       ...(rollouts !== null && message.rollouts !== undefined && rollouts.serial > message.rollouts ? { rollouts } : {}) };
   }
 
--- a/src/process/storeFollower.ts
+++ b/src/process/storeFollower.ts
@@ -1,3 +1,4 @@
+import { Histogram } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
 import type { StoreClient } from '../connection/storeCalls.js';
 import type { ManifestSnapshot } from '../version/snapshots.js';
@@ -6,6 +7,7 @@
 import type { Manifest } from '../version/manifest.js';
 import type { Address, Instant, KeyName, Millis, Serial } from './brands.js';
 import type { Membership } from './membership.js';
+import { Moment } from './moment.js';
 import type { Frame } from './program.js';
 import type { VoterLink } from './quorum.js';
 import type { RegisterAsk, RegisterReply } from './register.js';
@@ -16,6 +18,8 @@
 const HOLD_MS = 700;
 const FRESH_MS = 1300;
 const RETRY_MS = 200 as Millis;
+/** Seconds from a commit to where it is of use. */
+export const COMMIT_BUCKETS = [0.02, 0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5];
 
 /** Keeps a directory up with what the ratebooks committed: one standing question to each of them. */
 export class StoreFollower implements VoterLink {
@@ -24,9 +28,12 @@
   private followed: ReadonlySet<Address> = new Set();
   private currentAt: Instant = -Infinity as Instant;
   private answeredAt: ReadonlyMap<Address, Instant> = new Map();
+  private readonly learnedAt = new Map<KeyName, Instant>();
+  private readonly commitTimes: Histogram;
   private isStopping = false;
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly store: StoreClient) {
+    this.commitTimes = new Histogram({ name: 'opalstair_commit_known_seconds', help: 'From a commit being known at a ratebook to its being known here, the way of the question included', registers: [frame.metrics], buckets: COMMIT_BUCKETS });
     membership.onChange(() => this.followAll());
     this.followAll();
   }
@@ -36,6 +43,11 @@
     return entry === undefined ? null : { serial: entry.serial, manifest: entry.value as Manifest };
   }
 
+  /** When a ratebook learned that the manifest is committed, or earlier, by this process's clock; null before the first. */
+  manifestLearnedAt(): Instant | null {
+    return this.learnedAt.get(MANIFEST_KEY) ?? null;
+  }
+
   rollouts(): RolloutSnapshot | null {
     const entry = this.entries.get(ROLLOUTS_KEY);
     return entry === undefined ? null : { serial: entry.serial, table: entry.value as RolloutTable };
@@ -80,12 +92,13 @@
   private async follow(address: Address): Promise<void> {
     let isCurrent = false;
     while (!this.isStopping && this.ratebooks().includes(address)) {
+      const askedAt = this.frame.clock.now();
       const answer = await this.store.poll(address, { manifest: this.serialOf(MANIFEST_KEY), roster: this.serialOf(ROSTER_KEY), rollouts: this.serialOf(ROLLOUTS_KEY), waitMs: HOLD_MS, isCurrent });
       isCurrent = answer.isOk() && answer.value.isCurrent;
       if (answer.isErr()) await this.news.wait(RETRY_MS);
       else {
         this.answeredAt = new Map([...this.answeredAt, [address, this.frame.clock.now()]]);
-        for (const { key, entry } of answer.value.entries) this.learn(key, entry);
+        for (const { key, entry, learnedAt } of answer.value.entries) this.learn(key, entry, Moment.heard(learnedAt ?? 0, askedAt));
         if (answer.value.isCurrent) this.becomeCurrent();
       }
     }
@@ -98,10 +111,13 @@
     if (!wasCurrent) this.news.wake();
   }
 
-  private learn(key: KeyName, entry: Entry): void {
+  private learn(key: KeyName, entry: Entry, learnedAt: Instant): void {
     if (entry.serial <= this.serialOf(key)) return;
+    const sinceCommitMs = this.frame.clock.now() - learnedAt;
     this.entries = new Map([...this.entries, [key, entry]]);
-    this.frame.log.info({ event: 'committed', key, serial: entry.serial });
+    this.learnedAt.set(key, learnedAt);
+    this.commitTimes.observe(sinceCommitMs / 1000);
+    this.frame.log.info({ event: 'committed', key, serial: entry.serial, sinceCommitMs: Math.round(sinceCommitMs) });
     this.news.wake();
   }
 
--- a/src/programs/daemons/rehearsal.ts
+++ b/src/programs/daemons/rehearsal.ts
@@ -81,7 +81,7 @@
     const inForce = InForce.of({ serial: 1 as Serial, manifest: Manifest.check(MANIFEST)._unsafeUnwrap() });
     const rows: EndpointRow[] = [];
     const tables: TablesInForce & HostManifest = {
-      proven: () => Promise.resolve(inForce), isUnsure: false, isVouchedFor: true, now: () => inForce, tables: () => ({ rows, mask: null }), reach: () => Promise.resolve(true),
+      proven: () => Promise.resolve(inForce), isUnsure: false, isVouchedFor: true, evidenceAgeMs: 0, now: () => inForce, tables: () => ({ rows, mask: null }), reach: () => Promise.resolve(true),
       serial: () => inForce.serial, bindingOf: (id) => inForce.bindings.get(id) ?? null, probeOf: () => '/',
     };
     const links = new EndpointLinks(frame.clock, listenHost);
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -84,11 +84,13 @@
   private readonly endings: Tally;
   private readonly hops: Tally;
   private readonly times: Histogram<'binding'>;
+  private readonly denialAges: Histogram;
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly parts: ForwarderParts) {
     const registers = [frame.metrics];
     this.endings = new Tally(frame.metrics, 'opalstair_orders_total', 'Orders by binding and ending', ['binding', 'ending']);
     this.hops = new Tally(frame.metrics, 'opalstair_hops_total', 'Rounds begun by service: first ones, those after proof that nothing ran, and repeats', ['service', 'kind']);
+    this.denialAges = new Histogram({ name: 'opalstair_denial_evidence_age_seconds', help: 'How old the evidence was that no later manifest is in force, at each order that was told that it has no binding', registers, buckets: [0.1, 0.25, 0.5, 0.75, 1, 1.25, 1.5, 2, 3, 5] });
     this.times = new Histogram({ name: 'opalstair_order_seconds', help: 'Time from a whole order to its ending', labelNames: ['binding'], registers });
   }
 
@@ -110,6 +112,7 @@
     }
     if (matched.isErr()) {
       const status = matched.error.kind === 'no-binding' ? 404 : 400;
+      if (matched.error.kind === 'no-binding') this.denialAges.observe(this.parts.delivery.evidenceAgeMs / 1000);
       this.endings.add('', matched.error.kind);
       this.parts.traces.keep({ order, at: new Date(), method: given.method, url: given.url, serial: inForce.serial, binding: null, service: null, picks: [], rounds: [], ending: matched.error.kind, tookMs: 0 });
       return { kind: 'own', order, status, outcome: 'not-run', reason: matched.error.kind, detail: matched.error.detail, retryAfterMs: null };
