Pass on up to when all commits are known, and let nodes deny by that age alone

What callers saw: up to 3.13 s after a change was acknowledged, nodes denied the route that it added, ran the one that it dropped and used the former service, when the directory that they follow was on a core machine cut off from the others alone.

Cause: ratebook, directory and node each counted "in touch" from the arrival of the last answer, for 1.5, 1.3 and 1.5 s one after the other. And a ratebook was current because a majority answered it, not because it knew what that majority had accepted: the word of a commit may be lost.

Now a ratebook compares what disks of a majority say that they have accepted with what it knows to be committed. The moment up to which it thus knows all commits goes with each answer, relative to when the question was read; whoever asked counts it from when it asked, so that ages add up and the way counts. There is one bound, where the node decides: the new setting applyWithinMs (the users' config_apply) less 100 ms. A directory whose evidence is older than 1.1 s says that it isn't current, and its nodes ask all others at once. Held questions last 0.7 s in place of 1 s, so that evidence stays below the bound in calm times and with two of five core machines lost.

Ruled out: a slow link or processor (each denial was given with evidence taken to be 1.25 s old). The same cause elsewhere: what a ratebook missed was asked for every 2 s only; now once a disk of a majority is seen to have accepted more. Former releases, which tell no moment, count as before.

--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -48,10 +48,12 @@
   readonly rollouts?: RolloutSnapshot;
   /** When a ratebook learned that the manifest is committed, or earlier; with a manifest from a directory. */
   readonly committedAt?: ToldMoment;
+  /** Everything that was committed before this moment is known to the directory; absent in answers of the former release. */
+  readonly provenAt?: ToldMoment;
 }
 export const nodeNewsShape = Joi.object({
   manifest: manifestSnapshotShape.allow(null).required(), endpoints: endpointSnapshotShape.allow(null).required(),
-  masks: Joi.array().items(maskSnapshotShape).required(), isCurrent: Joi.boolean().required(), isWarming: Joi.boolean(), rollouts: rolloutSnapshotShape, committedAt: Joi.number(),
+  masks: Joi.array().items(maskSnapshotShape).required(), isCurrent: Joi.boolean().required(), isWarming: Joi.boolean(), rollouts: rolloutSnapshotShape, committedAt: Joi.number(), provenAt: Joi.number(),
 });
 
 /** What a neighbour is asked for: a manifest later than the one that the asker has, its masks, and its list of endpoints. */
--- a/src/connection/storeCalls.ts
+++ b/src/connection/storeCalls.ts
@@ -1,6 +1,7 @@
 import Joi from 'joi';
 import { err, ok, type Result, type ResultAsync } from 'neverthrow';
 import type { Address, ChangeId, DiskId, KeyName, Serial } from '../process/brands.js';
+import type { AcceptedSerials } from '../process/commitEvidence.js';
 import type { Defect } from '../process/defect.js';
 import type { ToldMoment } from '../process/moment.js';
 import { DamagedKey } from '../process/replica.js';
@@ -26,8 +27,15 @@
   ask: Joi.object({ kind: Joi.string().valid('show', 'inquire', 'claim', 'renew', 'accept', 'release').required(), epoch: whole, holder: text, leaseMs: Joi.number().min(0), isMending: Joi.boolean(), entry: entryShape }).required(),
 });
 
-export interface IdentityMessage { readonly id: DiskId; readonly isEmpty: boolean; readonly isSpare: boolean; readonly voters: Voters | null }
-export const identityShape = Joi.object({ id: text, isEmpty: Joi.boolean().required(), isSpare: Joi.boolean().required(), voters: votersShape.allow(null).required() });
+export interface IdentityMessage {
+  readonly id: DiskId;
+  readonly isEmpty: boolean;
+  readonly isSpare: boolean;
+  readonly voters: Voters | null;
+  /** What this disk has accepted; the former release does not say it. */
+  readonly accepted?: AcceptedSerials;
+}
+export const identityShape = Joi.object({ id: text, isEmpty: Joi.boolean().required(), isSpare: Joi.boolean().required(), voters: votersShape.allow(null).required(), accepted: Joi.object().pattern(Joi.string().max(256), Joi.number().integer().min(0)) });
 
 export interface ChangeMessage { readonly key: KeyName; readonly base: Serial; readonly value: unknown; readonly id: ChangeId; readonly serial?: Serial }
 export const changeShape = Joi.object({ key: text, base: whole, value: Joi.any().required(), id: Joi.string().max(128).required(), serial: Joi.number().integer().min(1) });
@@ -69,9 +77,14 @@
 export const pollShape = Joi.object({ manifest: whole, roster: whole, rollouts: Joi.number().integer().min(0), waitMs: Joi.number().min(0).max(30_000).required(), isCurrent: Joi.boolean() });
 /** An entry and when this ratebook learned that it is committed; the former release does not say it. */
 export interface CommittedNews extends CommittedMessage { readonly learnedAt?: ToldMoment }
-/** `isCurrent` says that this ratebook has lately heard from a majority and knows all that it had committed. */
-export interface PollAnswer { readonly entries: readonly CommittedNews[]; readonly isCurrent: boolean }
-export const pollAnswerShape = Joi.object({ entries: Joi.array().items(committedShape.keys({ learnedAt: Joi.number() })).required(), isCurrent: Joi.boolean().required() });
+/** Everything that was committed before `provenAt` is known to this ratebook; `isCurrent` says that this moment is not long ago. */
+export interface PollAnswer {
+  readonly entries: readonly CommittedNews[];
+  readonly isCurrent: boolean;
+  /** Absent when nothing was proven yet, and in answers of the former release. */
+  readonly provenAt?: ToldMoment;
+}
+export const pollAnswerShape = Joi.object({ entries: Joi.array().items(committedShape.keys({ learnedAt: Joi.number() })).required(), isCurrent: Joi.boolean().required(), provenAt: Joi.number() });
 
 interface ReplyMessage { readonly reply?: RegisterReply; readonly defect?: string; readonly detail?: string }
 const replyShape = Joi.object({ reply: Joi.object({ kind: Joi.string().required() }), defect: Joi.string(), detail: Joi.string().allow('') });
--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -117,7 +117,7 @@
       node_name: machine.name, zone: 'zone1', ip_address: machine.host, service: machine.service, application: at(PLATFORM_PORTS.application), seed_nodes: this.cores.map((core) => `${core.host}:${control}`),
       internal_ports: [internal, internal + 9], listen_addresses: { outbound: at(outbound), inbound: at(inbound), control_plane: at(control), readiness: at(readiness) },
       data_directory: join(this.folder, machine.name), limits: { disk_space_mb: 256 }, fault_tolerance: { machine_losses: 1 }, initial_start: isInitialStart,
-      bounds: { retry_budget_ratio: 0.2, retry_allowance: 60 },
+      bounds: { config_apply: '2000ms', retry_budget_ratio: 0.2, retry_allowance: 60 },
     };
   }
 
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -5,6 +5,7 @@
 import type { AskMessage, ChangeMessage, CommittedMessage, CopyAnswer, CopyMessage, DumpAnswer, IdentityMessage, OwnerAnswer, PollAnswer, PollMessage, ReplaceMessage, StoreClient } from '../connection/storeCalls.js';
 import { MANIFEST_KEY, ROLLOUTS_KEY, ROSTER_KEY, Roster, type Entry, type RosterMember, type Voters } from '../version/entry.js';
 import { CatchUp } from './catchUp.js';
+import { CommitEvidence, CURRENT_MS, type AcceptedSerials } from './commitEvidence.js';
 import { Address, type DiskId, type Epoch, type Instant, type KeyName, type Millis, type Serial } from './brands.js';
 import type { Defect } from './defect.js';
 import { LEASE } from './keyHolder.js';
@@ -22,7 +23,6 @@
 
 const ASK_MS = 1000;
 const INQUIRE_MS = 300;
-const HEARD_MS = 1500;
 const CATCH_UP_MS = 50;
 const CATCH_UP_MOST_MS = 400;
 const OWNED_KEYS: readonly KeyName[] = [ROSTER_KEY, MANIFEST_KEY, ROLLOUTS_KEY];
@@ -50,10 +50,11 @@
   private readonly rosterOwner: KeyOwner;
   private readonly rosterKeeper: RosterKeeper;
   private addresses: ReadonlyMap<DiskId, Address> = new Map();
-  private lastHeard: ReadonlyMap<DiskId, Instant> = new Map();
+  private readonly evidence = new CommitEvidence(OWNED_KEYS, (key) => this.serialOf(key));
   private waitUntil: ReadonlyMap<KeyName, Instant> = new Map();
   private isStopping = false;
   private isCatchingUp = false;
+  private isSweeping = false;
   private readonly catchUp: CatchUp;
   private readonly pollers = new Pollers();
   private readonly defects: Counter<'kind'>;
@@ -101,7 +102,6 @@
     const message: AskMessage = { key, disk: voter.id, rosterSerial, ask };
     if (voter.id === this.replica.id) return this.askHere(message);
     const answer = await this.store.ask(voter.address, message, ask.kind === 'inquire' || ask.kind === 'show' ? INQUIRE_MS : ASK_MS);
-    if (answer.isOk()) this.lastHeard = new Map([...this.lastHeard, [voter.id, this.frame.clock.now()]]);
     return answer;
   }
 
@@ -112,7 +112,7 @@
   }
 
   identity(): IdentityMessage {
-    return { id: this.replica.id, isEmpty: this.replica.isEmpty, isSpare: this.replica.isSpare, voters: this.voters() };
+    return { id: this.replica.id, isEmpty: this.replica.isEmpty, isSpare: this.replica.isSpare, voters: this.voters(), accepted: this.replica.acceptedSerials(OWNED_KEYS) };
   }
 
   async change(message: ChangeMessage): Promise<OwnerAnswer> {
@@ -154,6 +154,7 @@
     if (known !== undefined && known.serial >= message.entry.serial) return;
     this.committedEntries = new Map([...this.committedEntries, [message.key, message.entry]]);
     this.learnedAt.set(message.key, this.frame.clock.now());
+    this.evidence.match();
     this.pollers.wake();
   }
 
@@ -164,9 +165,10 @@
       return news.length > 0 || this.isStopping || message.isCurrent === !this.isCurrent() ? news : null;
     };
     const readAt = this.frame.clock.now();
-    const entries = (await this.pollers.until(look, message.waitMs as Millis)) ?? [];
+    await this.pollers.until(look, message.waitMs as Millis);
     const learnedAt = (key: KeyName): ToldMoment => Moment.tell(this.learnedAt.get(key) ?? readAt, readAt);
-    return { entries: entries.map((news) => ({ ...news, learnedAt: learnedAt(news.key) })), isCurrent: this.isCurrent() };
+    const provenAt = this.provenAt();
+    return { entries: this.newsFor(message).map((news) => ({ ...news, learnedAt: learnedAt(news.key) })), isCurrent: this.isCurrent(), ...(Number.isFinite(provenAt) ? { provenAt: Moment.tell(provenAt, readAt) } : {}) };
   }
 
   async stop(): Promise<void> {
@@ -198,7 +200,13 @@
   }
 
   private isCurrent(): boolean {
-    return this.catchUp.done && this.hearsMajority();
+    return this.frame.clock.now() - this.provenAt() < CURRENT_MS;
+  }
+
+  /** The moment before which everything that was committed is known here. */
+  private provenAt(): Instant {
+    this.evidence.hear(this.replica.id, this.frame.clock.now(), this.replica.acceptedSerials(OWNED_KEYS));
+    return this.evidence.asOf(this.voters());
   }
 
   /** Something may have been committed meanwhile that was not heard of here. */
@@ -210,7 +218,7 @@
   private async catchUpSoon(): Promise<void> {
     if (this.isCatchingUp) return;
     this.isCatchingUp = true;
-    for (let rest = CATCH_UP_MS; !this.isStopping && !(await this.catchUp.look()); rest = Math.min(2 * rest, CATCH_UP_MOST_MS)) {
+    for (let rest = CATCH_UP_MS; !this.isStopping && !(await this.lookAtOthers()); rest = Math.min(2 * rest, CATCH_UP_MOST_MS)) {
       if (rest > CATCH_UP_MS) void this.sweep();
       await new Promise((settle) => { setTimeout(settle, rest).unref(); });
     }
@@ -218,12 +226,11 @@
     this.pollers.wake();
   }
 
-  private hearsMajority(): boolean {
-    const voters = this.voters();
-    if (voters === null) return false;
-    const now = this.frame.clock.now();
-    const heard = voters.members.filter((member) => member.id === this.replica.id || now - (this.lastHeard.get(member.id) ?? -Infinity) < HEARD_MS);
-    return heard.length > voters.members.length / 2;
+  private async lookAtOthers(): Promise<boolean> {
+    const askedAt = this.frame.clock.now();
+    const isCaughtUp = await this.catchUp.look();
+    if (isCaughtUp) this.evidence.prove(askedAt);
+    return isCaughtUp;
   }
 
   private others(): readonly Address[] {
@@ -285,13 +292,13 @@
   private async meetOthers(): Promise<void> {
     const met = await Promise.all(this.membership.having('ratebook').map(async (member) => {
       const own = member.boot === this.frame.boot;
+      const askedAt = this.frame.clock.now();
       const identity: Result<IdentityMessage, Defect> = own ? ok(this.identity()) : await this.store.identity(member.wire);
+      identity.map(({ id, accepted }) => this.hearAccepted(id, askedAt, accepted ?? null));
       return identity.match((found) => [{ ...found, member }], () => []);
     }));
     const present = met.flat();
-    if (!this.hearsMajority()) this.fallBehind();
-    const now = this.frame.clock.now();
-    this.lastHeard = new Map([...this.lastHeard, ...present.map(({ id }) => [id, now] as const)]);
+    if (!this.isCurrent()) this.fallBehind();
     this.addresses = new Map([...this.addresses, ...present.map(({ id, member }) => [id, member.wire] as const)]);
     this.rosterKeeper.meet(present.map(({ member, ...identity }) => ({ identity, member: { id: identity.id, address: member.wire } })));
     if (this.voters() !== null) return this.tendRoster();
@@ -305,6 +312,13 @@
     }
   }
 
+  /** A disk told what it has accepted: what is not known here to be committed may have been, and the word of it may be lost. */
+  private hearAccepted(disk: DiskId, askedAt: Instant, accepted: AcceptedSerials | null): void {
+    this.evidence.hear(disk, askedAt, accepted);
+    const isVoter = this.voters()?.members.some(({ id }) => id === disk) === true;
+    if (isVoter && !this.evidence.covers(accepted)) void this.sweep();
+  }
+
   private async tendRoster(): Promise<void> {
     const step = await this.rosterKeeper.tend();
     if (step !== null) this.frame.log.info({ event: 'roster-step', step });
@@ -320,11 +334,14 @@
 
   /** Finds what a lost message would have told: asks the others for anything newer. */
   private async sweep(): Promise<void> {
+    if (this.isSweeping) return;
+    this.isSweeping = true;
     const have = { manifest: this.serialOf(MANIFEST_KEY), roster: this.serialOf(ROSTER_KEY), rollouts: this.serialOf(ROLLOUTS_KEY), waitMs: 0 };
     await Promise.all(this.others().map(async (address) => {
       const answer = await this.store.poll(address, have);
       answer.map(({ entries }) => entries.forEach((message) => this.learn(message)));
     }));
+    this.isSweeping = false;
   }
 
   private serialOf(key: KeyName): Serial {
--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -18,8 +18,11 @@
 import { COMMIT_BUCKETS } from './storeFollower.js';
 import type { Result } from 'neverthrow';
 
-/** A directory that died at an acknowledgement is noticed after both, and all others are asked at once: well below 2 s. */
-const HOLD_MS = 1000;
+/**
+ * A directory that died at an acknowledgement is noticed after both, and all others are asked at once. Evidence also grows
+ * older by the first of them before the next comes: together with `CURRENT_MS` it must stay below the time to apply a manifest.
+ */
+export const HOLD_MS = 700;
 const SILENCE_MS = 400;
 const REACH_MS = 500;
 const ASK_ONCE_MS = 300;
@@ -40,6 +43,13 @@
 const LISTS_ASKED = 1;
 const NEIGHBOUR_ANSWER_MS = 500;
 
+/** What delivery is told of the deployment. */
+export interface DeliverySettings extends PlaceSettings {
+  /** Within so many milliseconds of its acknowledgement a manifest must be in force. */
+  readonly applyWithinMs: Millis;
+  readonly firstStart?: boolean;
+}
+
 /** One manifest in force, made ready for use. */
 export interface InForce {
   readonly serial: Serial;
@@ -85,12 +95,14 @@
   private readonly pollTime: Histogram;
   private readonly commitTimes: Histogram;
 
-  constructor(private readonly frame: Frame<PlaceSettings & { readonly firstStart?: boolean }>, private readonly membership: Membership, private readonly wire: WireClient, private readonly onEndpoints: (rows: readonly EndpointRow[]) => void, private readonly onUnmasked: (rows: readonly EndpointRow[]) => void, private readonly onRollouts: (rollouts: RolloutSnapshot) => void = () => undefined) {
+  constructor(private readonly frame: Frame<DeliverySettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly onEndpoints: (rows: readonly EndpointRow[]) => void, private readonly onUnmasked: (rows: readonly EndpointRow[]) => void, private readonly onRollouts: (rollouts: RolloutSnapshot) => void = () => undefined) {
     const registers = [frame.metrics];
     this.startedAt = frame.clock.now();
-    this.freshness = new Freshness(frame.clock);
+    this.freshness = new Freshness(frame.clock, frame.settings.applyWithinMs);
     const silentMs = (): number => this.freshness.silentMs;
     new Gauge({ name: 'opalstair_directory_silence_seconds', help: 'Time since a directory that is in touch with the ratebooks\' majority last answered', registers, collect() { this.set(silentMs() / 1000); } });
+    const ageMs = (): number => this.freshness.ageMs;
+    new Gauge({ name: 'opalstair_evidence_age_seconds', help: 'Time since the moment before which all commits are known here; beyond the time to apply a manifest, unknown paths are answered with 503', registers, collect() { this.set(ageMs() / 1000); } });
     const serial = (): number => this.inForce.serial;
     new Gauge({ name: 'opalstair_manifest_serial', help: 'Serial of the manifest in force here', registers, collect() { this.set(serial()); } });
     const masked = (): ReadonlyMap<ServiceName, MaskSnapshot> => this.masks;
@@ -126,14 +138,14 @@
     return this.freshness.isUnsure;
   }
 
-  /** Milliseconds since a current directory last answered: how old what this node denies by may be. */
+  /** Milliseconds since the moment before which all commits are known here. */
   get evidenceAgeMs(): number {
-    return this.freshness.silentMs;
+    return this.freshness.ageMs;
   }
 
-  /** Whether a current directory vouches for the manifest in force: only then does a path without a binding have none. */
+  /** Whether no manifest can be missing that must be in force by now: only then does a path without a binding have none. */
   get isVouchedFor(): boolean {
-    return this.freshness.hearsDirectory;
+    return this.freshness.isProven;
   }
 
   /** Resolves once a manifest is in force that this node may go by, or at the stop. */
@@ -236,8 +248,9 @@
       }
       this.chosenDirectory = directory;
       const news = await this.ask(directory, this.freshness.hearsDirectory ? HOLD_MS : FIRST_HOLD_MS);
-      if (news.isErr()) void this.askOnce();
-      if (news.isErr() || !news.value.isCurrent) {
+      const isFailed = news.isErr() || !news.value.isCurrent;
+      if (news.isErr() || (isFailed && this.freshness.hearsDirectory)) void this.askOnce();
+      if (isFailed) {
         this.failedAt.set(directory, this.frame.clock.now());
         this.chosenDirectory = this.nextDirectory(directory);
         await this.news.wait((news.isErr() ? 50 : 200) as Millis);
@@ -332,6 +345,8 @@
 
   /** A directory's answer; the list of one that is still warming counts only from the one that is followed. */
   private hear(news: NodeNews, directory: Address, askedAt: Instant, heardAt: Instant): void {
+    const provenAt = news.provenAt ?? (news.isCurrent ? 0 : null);
+    if (provenAt !== null) this.freshness.prove(Moment.heard(provenAt, askedAt));
     if (news.isCurrent && this.freshness.hear(askedAt, heardAt)) this.chosenDirectory = directory;
     this.learn(news.isWarming === true && directory !== this.chosenDirectory ? { ...news, endpoints: null } : news, true, news.committedAt === undefined ? null : Moment.heard(news.committedAt, askedAt));
   }
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -222,6 +222,7 @@
   private newsFor(message: NodePoll, readAt: Instant): NodeNews {
     const manifest = this.follower.manifest();
     const committedAt = this.follower.manifestLearnedAt();
+    const provenAt = this.follower.provenAt();
     const rollouts = this.follower.rollouts();
     const warm = this.registry.current();
     const hasNone = message.directory === '' || message.directory === this.frame.boot;
@@ -233,7 +234,7 @@
       const had = message.masks.find((one) => one.service === mask.service);
       return had === undefined || mask.epoch > had.epoch || (mask.epoch === had.epoch && mask.serial > had.serial);
     });
-    return { manifest: manifest !== null && manifest.serial > message.manifest ? { serial: manifest.serial, manifest: { ...manifest.manifest, source: null } } : null, endpoints: hasEndpoints ? null : difference ?? endpoints, masks, isCurrent: this.follower.isCurrent(), isWarming: warm === null, ...(committedAt === null ? {} : { committedAt: Moment.tell(committedAt, readAt) }),
+    return { manifest: manifest !== null && manifest.serial > message.manifest ? { serial: manifest.serial, manifest: { ...manifest.manifest, source: null } } : null, endpoints: hasEndpoints ? null : difference ?? endpoints, masks, isCurrent: this.follower.isCurrent(), isWarming: warm === null, ...(committedAt === null ? {} : { committedAt: Moment.tell(committedAt, readAt) }), ...(Number.isFinite(provenAt) ? { provenAt: Moment.tell(provenAt, readAt) } : {}),
       ...(rollouts !== null && message.rollouts !== undefined && rollouts.serial > message.rollouts ? { rollouts } : {}) };
   }
 
--- a/src/process/replica.ts
+++ b/src/process/replica.ts
@@ -1,8 +1,9 @@
 import { BSON } from 'bson';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { ROSTER_KEY, type Entry, type Roster } from '../version/entry.js';
-import type { DiskId, Instant, KeyName } from './brands.js';
+import type { DiskId, Instant, KeyName, Serial } from './brands.js';
 import type { Clock } from './clock.js';
+import type { AcceptedSerials } from './commitEvidence.js';
 import { Defect } from './defect.js';
 import { DamagedFile, DiskDefect, DiskFull, type Disk, type StoreDefect } from './disk.js';
 import { mergedState, type Copies } from './spareCopy.js';
@@ -107,6 +108,11 @@
     return this.copies.get(key)?.state.accepted ?? null;
   }
 
+  /** The serials of what this disk has accepted, 0 where nothing; without the keys whose newest file is damaged. */
+  acceptedSerials(keys: readonly KeyName[]): AcceptedSerials {
+    return Object.fromEntries(keys.filter((key) => !this.damaged.has(key)).map((key) => [key, this.accepted(key)?.serial ?? (0 as Serial)]));
+  }
+
   promised(key: KeyName): RegisterState {
     return this.copies.get(key)?.state ?? Register.empty;
   }
--- a/src/process/storeFollower.ts
+++ b/src/process/storeFollower.ts
@@ -1,11 +1,12 @@
 import { Histogram } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
-import type { StoreClient } from '../connection/storeCalls.js';
+import type { PollAnswer, StoreClient } from '../connection/storeCalls.js';
 import type { ManifestSnapshot } from '../version/snapshots.js';
 import type { RolloutSnapshot, RolloutTable } from '../version/rollout.js';
 import { MANIFEST_KEY, ROLLOUTS_KEY, ROSTER_KEY, type Entry, type Roster, type RosterMember, type Voters } from '../version/entry.js';
 import type { Manifest } from '../version/manifest.js';
 import type { Address, Instant, KeyName, Millis, Serial } from './brands.js';
+import { CURRENT_MS } from './commitEvidence.js';
 import type { Membership } from './membership.js';
 import { Moment } from './moment.js';
 import type { Frame } from './program.js';
@@ -26,7 +27,7 @@
   readonly news = new Pollers();
   private entries: ReadonlyMap<KeyName, Entry> = new Map();
   private followed: ReadonlySet<Address> = new Set();
-  private currentAt: Instant = -Infinity as Instant;
+  private provenBefore: Instant = -Infinity as Instant;
   private answeredAt: ReadonlyMap<Address, Instant> = new Map();
   private readonly learnedAt = new Map<KeyName, Instant>();
   private readonly commitTimes: Histogram;
@@ -53,9 +54,14 @@
     return entry === undefined ? null : { serial: entry.serial, table: entry.value as RolloutTable };
   }
 
-  /** Whether a ratebook that is in touch with a majority answered lately. */
+  /** The moment before which everything that was committed is known here, by this process's clock. */
+  provenAt(): Instant {
+    return this.provenBefore;
+  }
+
+  /** Whether that moment is not long ago. */
   isCurrent(): boolean {
-    return this.frame.clock.now() - this.currentAt < FRESH_MS;
+    return this.frame.clock.now() - this.provenBefore < CURRENT_MS;
   }
 
   ratebooks(): readonly Address[] {
@@ -99,16 +105,18 @@
       else {
         this.answeredAt = new Map([...this.answeredAt, [address, this.frame.clock.now()]]);
         for (const { key, entry, learnedAt } of answer.value.entries) this.learn(key, entry, Moment.heard(learnedAt ?? 0, askedAt));
-        if (answer.value.isCurrent) this.becomeCurrent();
+        this.hearEvidence(answer.value, askedAt);
       }
     }
     this.followed = new Set([...this.followed].filter((known) => known !== address));
   }
 
-  private becomeCurrent(): void {
+  /** A ratebook of the former release does not say up to when it knows all commits: it says only whether it is current. */
+  private hearEvidence({ provenAt, isCurrent }: PollAnswer, askedAt: Instant): void {
+    if (provenAt === undefined && !isCurrent) return;
     const wasCurrent = this.isCurrent();
-    this.currentAt = this.frame.clock.now();
-    if (!wasCurrent) this.news.wake();
+    this.provenBefore = Math.max(this.provenBefore, Moment.heard(provenAt ?? 0, askedAt)) as Instant;
+    if (!wasCurrent && this.isCurrent()) this.news.wake();
   }
 
   private learn(key: KeyName, entry: Entry, learnedAt: Instant): void {
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -17,7 +17,7 @@
 import { Allowance } from '../../process/allowance.js';
 import type { Address, Millis, NodeName, OrderId, ServiceName } from '../../process/brands.js';
 import type { Defect } from '../../process/defect.js';
-import { Delivery } from '../../process/delivery.js';
+import { Delivery, type DeliverySettings } from '../../process/delivery.js';
 import { LocalEndpoints } from '../../process/localEndpoints.js';
 import { MarkReplicas } from '../../process/markReplicas.js';
 import { Membership } from '../../process/membership.js';
@@ -26,7 +26,7 @@
 import type { Frame, Program, Running } from '../../process/program.js';
 import { Reporter } from '../../process/reporter.js';
 import { RolloutReporter } from '../../process/rolloutReporter.js';
-import { millisSetting, placeTable, portSetting, type PlaceSettings, type SettingTable } from '../../process/settings.js';
+import { millisSetting, placeTable, portSetting, type SettingTable } from '../../process/settings.js';
 import { ShareLease } from '../../process/shareLease.js';
 import { Traces } from '../../process/traces.js';
 import { VersionRouter } from '../../process/versionRouter.js';
@@ -36,7 +36,7 @@
 import { Forwarder } from '../../request/forwarder.js';
 import { Hosting } from '../../request/hosting.js';
 
-interface SwitchboardSettings extends PlaceSettings {
+interface SwitchboardSettings extends DeliverySettings {
   readonly orderPort: number;
   readonly beatPort: number;
   readonly highestNodes: number;
@@ -76,6 +76,7 @@
   leavingMs: { check: millisSetting(0, 0), help: 'how long a stopping switchboard still offers its endpoints to others' },
   losses: { check: Joi.number().integer().min(0).max(16).default(1), help: 'how many machines may be lost at once: an endpoint\'s leaving is acknowledged when as many other processes know of it, one at least' },
   firstStart: { check: Joi.boolean().default(false), help: 'whether the whole mesh starts for the first time: no endpoint can have left before' },
+  applyWithinMs: { check: millisSetting(2000, 500), help: 'within how long of its acknowledgement a manifest must be in force: a path is denied only by newer evidence that it has no binding' },
   partingMs: { check: millisSetting(1500, 0), help: 'how long a stopping switchboard goes on taking orders' },
 };
 
--- a/test/freshness.test.ts
+++ b/test/freshness.test.ts
@@ -5,10 +5,13 @@
 
 const { test, run } = suite('freshness');
 
+/** The time after its acknowledgement within which a manifest must be in force, in milliseconds. */
+const APPLY_MS = 2000;
+
 const at = (now: number): Instant => now as Instant;
 const fresh = (): { readonly time: { now: number }; readonly freshness: Freshness } => {
   const time = { now: 1000 };
-  return { time, freshness: new Freshness({ now: () => at(time.now) }) };
+  return { time, freshness: new Freshness({ now: () => at(time.now) }, APPLY_MS) };
 };
 
 test('a node that starts is unsure until a current directory answers, for 1.5 s at most', () => {
@@ -45,4 +48,21 @@
   assert.equal([freshness.isSure, freshness.hearsDirectory, freshness.silentMs], [true, false, 2000]);
 });
 
+// Guards against evidence that is counted from its arrival, at each process on its way anew.
+test('what a node has is as old as the moment up to which commits are known, however lately an answer came', () => {
+  const { time, freshness } = fresh();
+  assert.not(freshness.isProven, 'nothing was proven yet');
+  freshness.prove(at(1000));
+  time.now = 1000 + APPLY_MS - 101;
+  freshness.hear(at(time.now), at(time.now));
+  assert.ok(freshness.isProven);
+  time.now += 1;
+  freshness.hear(at(time.now), at(time.now));
+  assert.equal([freshness.isProven, freshness.hearsDirectory, freshness.ageMs], [false, true, APPLY_MS - 100]);
+  freshness.prove(at(500));
+  assert.is(freshness.ageMs, APPLY_MS - 100, 'older evidence that comes later takes nothing away');
+  freshness.prove(at(time.now - 10));
+  assert.ok(freshness.isProven);
+});
+
 run();
--- a/test/nearness.test.ts
+++ b/test/nearness.test.ts
@@ -8,13 +8,12 @@
 import { until } from '../src/fleet/fleet.js';
 import type { Address, Instant, NodeName, Serial, ServiceName } from '../src/process/brands.js';
 import { LostDefect } from '../src/process/defect.js';
-import { Delivery } from '../src/process/delivery.js';
+import { Delivery, HOLD_MS, type DeliverySettings } from '../src/process/delivery.js';
 import type { LocalEndpoints } from '../src/process/localEndpoints.js';
 import type { Membership } from '../src/process/membership.js';
 import type { OutcomeBook } from '../src/process/outcomeBook.js';
 import type { Frame } from '../src/process/program.js';
 import { Reporter } from '../src/process/reporter.js';
-import type { PlaceSettings } from '../src/process/settings.js';
 import { Manifest } from '../src/version/manifest.js';
 import type { EndpointRow, EndpointSnapshot } from '../src/version/snapshots.js';
 import { suite } from './harness.js';
@@ -26,9 +25,9 @@
 const NEIGHBOUR = '10.0.0.3:1' as Address;
 const directories = [{ name: 'near', zone: 'a', wire: NEAR, boot: 'n' }, { name: 'far', zone: 'b', wire: FAR, boot: 'f' }];
 const membership = { having: (role: string) => (role === 'directory' ? directories : [{ name: 'app2', zone: 'a', wire: NEIGHBOUR, boot: 'a2' }]), onChange: () => undefined } as unknown as Membership;
-const frameAt = (clock: { at: number }): Frame<PlaceSettings> => ({
-  settings: { node: 'app1', zone: 'a', host: '10.0.0.9', wirePort: 1 }, log: pino({ level: 'silent' }), boot: 'boot', clock: { now: () => clock.at as Instant }, stalls: { onStall: () => undefined, check: () => undefined }, metrics: new Registry(),
-}) as unknown as Frame<PlaceSettings>;
+const frameAt = (clock: { at: number }): Frame<DeliverySettings> => ({
+  settings: { node: 'app1', zone: 'a', host: '10.0.0.9', wirePort: 1, applyWithinMs: 2000 }, log: pino({ level: 'silent' }), boot: 'boot', clock: { now: () => clock.at as Instant }, stalls: { onStall: () => undefined, check: () => undefined }, metrics: new Registry(),
+}) as unknown as Frame<DeliverySettings>;
 
 interface Sent {
   readonly address: Address;
@@ -52,7 +51,7 @@
   const clock = { at: 1000 };
   const { sent, wire } = heldWire();
   const delivery = new Delivery(frameAt(clock), membership, wire, () => undefined, () => undefined);
-  const isHeld = ({ message }: Sent): boolean => (message as NodePoll).waitMs === 1000;
+  const isHeld = ({ message }: Sent): boolean => (message as NodePoll).waitMs === HOLD_MS;
   let seen = 0;
   /** The next question that a node leaves open at a directory. */
   const held = async (): Promise<Sent> => {
