Count what a disk has accepted as evidence only where it has a vote

What callers would have seen: after a core machine's disk was replaced, a ratebook that takes itself to know all commits, and nodes that deny what it misses. Found by the simulation of registers, which now lets books compare what disks have accepted and checks each proven moment against all commits.

A spare disk has accepted nothing; heard before its admission, it counted afterwards as one of the majority that has nothing new.

What was proven stays proven.

--- a/src/fleet/simBook.ts
+++ b/src/fleet/simBook.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
-import type { Address, DiskId, Instant, KeyName } from '../process/brands.js';
+import type { Address, DiskId, Instant, KeyName, Serial } from '../process/brands.js';
 import { CatchUp } from '../process/catchUp.js';
+import { CommitEvidence, type AcceptedSerials } from '../process/commitEvidence.js';
 import type { Defect } from '../process/defect.js';
 import { KeyOwner } from '../process/keyOwner.js';
 import { isFenced, NoVote, OldRoster, voteDefect, type VoterLink } from '../process/quorum.js';
@@ -9,6 +10,7 @@
 import { MANIFEST_KEY, ROSTER_KEY, Roster, type Entry, type RosterMember, type Voters } from '../version/entry.js';
 
 export const LEASE_MS = 2000;
+const KEYS = [ROSTER_KEY, MANIFEST_KEY] as const;
 
 /** What a simulated ratebook needs of the simulation around it. */
 export interface SimWorld {
@@ -29,6 +31,7 @@
   private committed = new Map<KeyName, Entry>();
   private owners: ReadonlyMap<KeyName, KeyOwner>;
   catchUp: CatchUp;
+  evidence: CommitEvidence;
   boot = 1;
   isDown = false;
 
@@ -36,6 +39,7 @@
     this.graceUntil = sim.now();
     this.owners = this.makeOwners();
     this.catchUp = this.makeCatchUp();
+    this.evidence = this.makeEvidence();
   }
 
   voters(): Voters | null {
@@ -50,7 +54,9 @@
   }
 
   learn(key: KeyName, entry: Entry): void {
-    if (entry.serial > (this.committed.get(key)?.serial ?? 0)) this.committed.set(key, entry);
+    if (entry.serial <= (this.committed.get(key)?.serial ?? 0)) return;
+    this.committed.set(key, entry);
+    this.evidence.match();
   }
 
   committedEntry(key: KeyName): Entry | null {
@@ -64,6 +70,7 @@
     this.graceUntil = (this.sim.now() + LEASE_MS) as Instant;
     this.owners = this.makeOwners();
     this.catchUp = this.makeCatchUp();
+    this.evidence = this.makeEvidence();
   }
 
   ask(voter: RosterMember, key: KeyName, rosterSerial: number, ask: RegisterAsk): Promise<Result<RegisterReply, Defect>> {
@@ -95,6 +102,29 @@
     return true;
   }
 
+  acceptedSerials(): AcceptedSerials {
+    return Object.fromEntries(KEYS.map((key) => [key, this.disk.get(key)?.accepted?.serial ?? (0 as Serial)]));
+  }
+
+  /** Asks every voter what it has accepted; `each` is called with every answer that came. */
+  compare(each: () => void): void {
+    const { boot } = this;
+    const voters = this.voters();
+    if (voters === null) return;
+    const asked = { askedAt: this.sim.now(), rosterSerial: voters.serial };
+    for (const { address } of voters.members) {
+      void this.sim.post(this, address, (target) => ok({ disk: target.member.id, voters: target.voters(), accepted: target.acceptedSerials() })).then((answer) => {
+        if (this.boot !== boot || answer.isErr()) return;
+        this.evidence.hear({ ...answer.value, ...asked });
+        each();
+      });
+    }
+  }
+
+  private makeEvidence(): CommitEvidence {
+    return new CommitEvidence(KEYS, (key) => this.committed.get(key)?.serial ?? (0 as Serial));
+  }
+
   private dump(disk: DiskId): Result<Copies, Defect> {
     return disk === this.member.id ? ok(new Map(this.disk)) : err(new NoVote('another disk'));
   }
--- a/src/fleet/storeSim.ts
+++ b/src/fleet/storeSim.ts
@@ -46,6 +46,10 @@
   /** How often a book found an entry committed by itself, and how often one had caught up. */
   foundCount = 0;
   caughtUpCount = 0;
+  /** How often a book could prove up to when it knows all commits. */
+  provenCount = 0;
+  /** When each serial was seen to be committed. */
+  private readonly committedAt = new Map<number, number>();
   readonly faults: string[] = [];
   /** The books beside its owner's that were told of a serial. */
   private readonly knownBy = new Map<number, ReadonlySet<DiskId>>();
@@ -104,6 +108,7 @@
     const known = history.get(entry.serial);
     if (known !== undefined && JSON.stringify(known) !== JSON.stringify(entry.value)) this.faults.push(`${key} ${entry.serial} was committed as ${JSON.stringify(known)} and as ${JSON.stringify(entry.value)}`);
     history.set(entry.serial, entry.value);
+    if (key === MANIFEST_KEY && !this.committedAt.has(entry.serial)) this.committedAt.set(entry.serial, this.time);
   }
 
   /** Tells the other books of a committed entry; resolves once one knows it, or when all the letters were lost. */
@@ -148,7 +153,8 @@
     else if (dice < 0.55) this.takeOver(book);
     else if (dice < 0.75) this.renew(book);
     else if (dice < 0.85) this.tendRoster(this.servingOr(ROSTER_KEY, book));
-    else if (dice < 0.93) this.lookAround(book);
+    else if (dice < 0.91) this.lookAround(book);
+    else if (dice < 0.96) book.compare(() => this.checkEvidence(book));
     else this.gossip();
   }
 
@@ -238,6 +244,17 @@
     });
   }
 
+  /** A book that proves up to when it knows all commits knows every one that was seen before then. */
+  private checkEvidence(book: SimBook): void {
+    const moment = book.evidence.asOf(book.voters());
+    if (moment === -Infinity) return;
+    this.provenCount += 1;
+    const known = book.committedEntry(MANIFEST_KEY)?.serial ?? 0;
+    for (const [serial, at] of this.committedAt) {
+      if (at < moment && serial > known) this.faults.push(`${book.member.id} knew serial ${known} and all up to ${moment}, when ${serial} had been committed at ${at}`);
+    }
+  }
+
   private gossip(): void {
     const [from, to] = [this.chance.of(this.running), this.chance.of(this.running)];
     for (const key of [MANIFEST_KEY, ROSTER_KEY]) {
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -5,7 +5,7 @@
 import type { AskMessage, ChangeMessage, CommittedMessage, CopyAnswer, CopyMessage, DumpAnswer, IdentityMessage, OwnerAnswer, PollAnswer, PollMessage, ReplaceMessage, StoreClient } from '../connection/storeCalls.js';
 import { MANIFEST_KEY, ROLLOUTS_KEY, ROSTER_KEY, Roster, type Entry, type RosterMember, type Voters } from '../version/entry.js';
 import { CatchUp } from './catchUp.js';
-import { CommitEvidence, CURRENT_MS, type AcceptedSerials } from './commitEvidence.js';
+import { CommitEvidence, CURRENT_MS, type DiskReport } from './commitEvidence.js';
 import { Address, type DiskId, type Epoch, type Instant, type KeyName, type Millis, type Serial } from './brands.js';
 import type { Defect } from './defect.js';
 import { LEASE } from './keyHolder.js';
@@ -205,8 +205,9 @@
 
   /** The moment before which everything that was committed is known here. */
   private provenAt(): Instant {
-    this.evidence.hear(this.replica.id, this.frame.clock.now(), this.replica.acceptedSerials(OWNED_KEYS));
-    return this.evidence.asOf(this.voters());
+    const voters = this.voters();
+    this.evidence.hear({ disk: this.replica.id, askedAt: this.frame.clock.now(), rosterSerial: voters?.serial ?? (0 as Serial), voters, accepted: this.replica.acceptedSerials(OWNED_KEYS) });
+    return this.evidence.asOf(voters);
   }
 
   /** Something may have been committed meanwhile that was not heard of here. */
@@ -292,9 +293,9 @@
   private async meetOthers(): Promise<void> {
     const met = await Promise.all(this.membership.having('ratebook').map(async (member) => {
       const own = member.boot === this.frame.boot;
-      const askedAt = this.frame.clock.now();
+      const asked = { askedAt: this.frame.clock.now(), rosterSerial: this.voters()?.serial ?? (0 as Serial) };
       const identity: Result<IdentityMessage, Defect> = own ? ok(this.identity()) : await this.store.identity(member.wire);
-      identity.map(({ id, accepted }) => this.hearAccepted(id, askedAt, accepted ?? null));
+      identity.map(({ id, voters, accepted }) => this.hearReport({ ...asked, disk: id, voters, accepted: accepted ?? null }));
       return identity.match((found) => [{ ...found, member }], () => []);
     }));
     const present = met.flat();
@@ -313,10 +314,10 @@
   }
 
   /** A disk told what it has accepted: what is not known here to be committed may have been, and the word of it may be lost. */
-  private hearAccepted(disk: DiskId, askedAt: Instant, accepted: AcceptedSerials | null): void {
-    this.evidence.hear(disk, askedAt, accepted);
-    const isVoter = this.voters()?.members.some(({ id }) => id === disk) === true;
-    if (isVoter && !this.evidence.covers(accepted)) void this.sweep();
+  private hearReport(report: DiskReport): void {
+    this.evidence.hear(report);
+    const isVoter = this.voters()?.members.some(({ id }) => id === report.disk) === true;
+    if (isVoter && !this.evidence.covers(report.accepted)) void this.sweep();
   }
 
   private async tendRoster(): Promise<void> {
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -44,15 +44,18 @@
     let undecided = 0;
     let found = 0;
     let caughtUp = 0;
+    let proven = 0;
     for (let seed = 1; seed <= SEEDS; seed += 1) {
       const sim = await drive(seed, { size, wipes, outages });
       assert.equal(sim.faults, [], `seed ${seed}`);
       acknowledged += sim.told.filter((one) => one.outcome === 'acknowledged').length;
       found += sim.foundCount;
       caughtUp += sim.caughtUpCount;
+      proven += sim.provenCount;
       undecided += sim.told.filter((one) => one.outcome === 'undecided').length;
     }
     assert.ok(acknowledged > SEEDS && undecided > 0, `${acknowledged} acknowledged, ${undecided} undecided: the runs reach what they are for`);
+    assert.ok(proven > SEEDS, `${proven} times it was proven up to when a book knows all commits`);
     assert.ok(found > SEEDS && caughtUp > SEEDS, `${found} entries found committed without an owner, ${caughtUp} books caught up`);
   });
 }
