--- a/src/fleet/checker.ts
+++ b/src/fleet/checker.ts
@@ -61,6 +61,8 @@
   /** How many orders the callers sent. */
   readonly sent: number;
   readonly answers: readonly AnswerLog[];
+  /** Answers to orders that only test which version is in force. */
+  readonly probes?: readonly AnswerLog[];
   readonly runs: readonly RunLog[];
   /** All that reached an endpoint, whether it ran or not. */
   readonly arrivals: readonly RunLog[];
@@ -116,10 +118,24 @@
 const endOf = (logs: Logs, change: ChangeLog): number =>
   Math.min(Infinity, ...logs.changes.filter((later) => later.outcome === 'acknowledged' && (change.outcome === 'acknowledged' ? later.serial > change.serial : later.at > change.at)).map((later) => later.at + FORCE_MS));
 
+/** Each change that was or may have been in force, and until when. */
+const standingChanges = (logs: Logs): readonly (ChangeLog & { readonly until: number })[] =>
+  logs.changes.filter((change) => change.outcome !== 'turned away').map((change) => ({ ...change, until: endOf(logs, change) }));
+
+const serviceOf = (change: ChangeLog, url: string): string | undefined =>
+  [...change.routes].filter(({ prefix }) => isWithin(url, prefix)).sort((one, other) => other.prefix.length - one.prefix.length)[0]?.service;
+
+/** No harm excuses a denial: a switchboard that can't be sure of having the newest version has another answer to give. */
+const deniedInForce = (logs: Logs): readonly string[] => {
+  if (logs.changes.length === 0) return [];
+  const standing = standingChanges(logs);
+  const denials = [...logs.answers, ...(logs.probes ?? [])].filter(({ ending, status }) => ending === 'not-run' && status === 404);
+  return denials.filter(({ url, sentAt, endedAt }) => !standing.some((change) => change.sentAt <= endedAt && change.until >= sentAt && serviceOf(change, url) === undefined))
+    .map(({ url, machine, sentAt }) => `${url} was denied at ${machine} at ${Math.round(sentAt)}`);
+};
+
 const wrongService = (logs: Logs): readonly string[] => {
-  const standing = logs.changes.filter((change) => change.outcome !== 'turned away').map((change) => ({ ...change, until: endOf(logs, change) }));
-  const serviceOf = (change: ChangeLog, url: string): string | undefined =>
-    [...change.routes].filter(({ prefix }) => isWithin(url, prefix)).sort((one, other) => other.prefix.length - one.prefix.length)[0]?.service;
+  const standing = standingChanges(logs);
   return logs.arrivals.filter((run) => {
     const harm = logs.harms.filter((one) => one.machine === run.machine && run.at >= one.from && run.at <= one.until + FORCE_MS).reduce((since, one) => Math.min(since, one.from), run.at);
     return !standing.some((change) => change.sentAt <= run.at && change.until >= harm && serviceOf(change, run.url) === run.service);
@@ -211,6 +227,7 @@
   ['a write is called not run and has run', falseNotRun],
   ['an answer that is not the endpoint\'s own whole one', foreignAnswers],
   ['an order reaches a service that no manifest allowed', wrongService],
+  ['a route that is in force is denied', deniedInForce],
   ['traffic after 2 s from an acknowledged leaving', afterLeaving],
   ['an acknowledged manifest is late or undone', lateForce],
   ['a refused manifest takes effect, or two rivals win', refusedInForce],
--- a/src/fleet/faults.ts
+++ b/src/fleet/faults.ts
@@ -9,14 +9,20 @@
 
 /** Orders under it go wherever the manifest of the moment says. */
 export const MOVING_PREFIX = '/moving';
+/** Each version has one route below it that no other version has. */
+export const MARK_PREFIX = '/mark/';
 const BROKEN: readonly Behaviour[] = ['fails', 'garbage', 'diesBefore', 'diesAfterRun', 'diesDuring', 'extraBytes', 'shortLength', 'truncatedChunks'];
 const STOP_ALLOWANCE_MS = 6000;
+/** Between two faults there is so long, in milliseconds, and up to the spread more. */
+const LEAST_REST_MS = 200;
+const REST_SPREAD_MS = 800;
+const MOST_AT_ONCE = 3;
 const pause = (millis: number): Promise<void> => new Promise((settle) => { setTimeout(settle, millis); });
 
 export const FAULTS = [
   'roll-endpoint', 'leave-by-beat', 'remove-endpoint', 'leave-hastily', 'kill-endpoint', 'reuse-address', 'freeze-endpoint', 'break-endpoint', 'kill-switchboard', 'freeze-switchboard', 'stop-switchboard',
   'kill-directory', 'freeze-directory', 'stop-directory', 'kill-ratebook', 'freeze-ratebook', 'stop-ratebook', 'lose-disk', 'lose-core', 'kill-zone', 'kill-all',
-  'push', 'push-invalid', 'push-rivals', 'push-storm', 'cut', 'cut-from-all', 'cut-from-core', 'cut-from-neighbours', 'split-core', 'split-core-three', 'cut-core',
+  'push', 'push-invalid', 'push-rivals', 'push-storm', 'cut', 'cut-from-all', 'cut-from-core', 'cut-from-neighbours', 'split-core', 'split-core-push', 'split-core-three', 'cut-core',
 ] as const;
 /** What platforms and operators do every day: nothing may be lost by it. */
 export const PLANNED: readonly FaultName[] = ['roll-endpoint', 'leave-by-beat', 'remove-endpoint', 'stop-switchboard', 'stop-directory', 'stop-ratebook', 'push', 'push-invalid', 'push-rivals', 'push-storm'];
@@ -40,6 +46,23 @@
     return this.fleet.machines.map((machine) => machine.name).filter((name) => !this.harmed.has(name));
   }
 
+  /** Causes faults for so many seconds, drawn one after the other, three at a time at most; gives how often each was caused. */
+  async causeAny(faults: readonly FaultName[], seconds: number, chance: Chance): Promise<ReadonlyMap<FaultName, number>> {
+    const caused = new Map<FaultName, number>();
+    const causing = new Set<Promise<void>>();
+    const end = performance.now() + seconds * 1000;
+    while (performance.now() < end) {
+      await pause(LEAST_REST_MS + chance.below(REST_SPREAD_MS));
+      if (faults.length === 0 || causing.size >= MOST_AT_ONCE) continue;
+      const fault = chance.of(faults);
+      caused.set(fault, (caused.get(fault) ?? 0) + 1);
+      const done = this.cause(fault).then(() => { causing.delete(done); });
+      causing.add(done);
+    }
+    await Promise.all(causing);
+    return caused;
+  }
+
   async cause(fault: FaultName): Promise<void> {
     const acts: Readonly<Record<FaultName, () => Promise<void>>> = {
       'roll-endpoint': () => this.rollEndpoint(true),
@@ -72,6 +95,10 @@
       'cut-from-core': () => this.cut((one) => [[one], this.coreNames()], false),
       'cut-from-neighbours': () => this.cut((one) => [[one], this.appNames().filter((name) => name !== one)], false),
       'split-core': () => this.splitCore((one, rest) => this.fleet.relay.split([one], rest)),
+      'split-core-push': () => this.splitCore((one, rest) => {
+        this.fleet.relay.split([one], rest);
+        return this.push(1, [this.nextManifest()], this.chance.of(rest));
+      }),
       'split-core-three': () => this.splitCore((one, rest) => {
         this.fleet.relay.split([one], rest);
         this.fleet.relay.split(rest.slice(0, 1), rest.slice(1));
@@ -87,7 +114,7 @@
     const services = this.home.manifest.services;
     const target = this.chance.below(services.length + 1);
     const moving = target === services.length ? [] : [{ id: 'moving', service: services[target]?.name, prefix: MOVING_PREFIX }];
-    return { ...this.home.manifest, bindings: [...this.home.manifest.bindings, ...moving, { id: `mark-${this.pushCount}`, service: services[0]?.name, prefix: `/mark/${this.pushCount}` }] };
+    return { ...this.home.manifest, bindings: [...this.home.manifest.bindings, ...moving, { id: `mark-${this.pushCount}`, service: services[0]?.name, prefix: `${MARK_PREFIX}${this.pushCount}` }] };
   }
 
   /** Pushes manifests on one base, all at once, and logs what each was told. */
@@ -323,11 +350,12 @@
     this.harmed.delete(one);
   }
 
-  private async splitCore(split: (one: string, rest: readonly string[]) => void): Promise<void> {
+  /** Splits the core machines for a while that begins when the split is done, with whatever is done in it at once. */
+  private async splitCore(split: (one: string, rest: readonly string[]) => Promise<void> | void): Promise<void> {
     if (this.fleet.plan.relayed !== true || this.busyCores.size > 0) return;
     const one = this.chance.of(this.fleet.cores).name;
     this.busyCores.add(one);
-    split(one, this.coreNames().filter((core) => core !== one));
+    await split(one, this.coreNames().filter((core) => core !== one));
     await pause(1000 + this.chance.below(4000));
     this.fleet.relay.heal();
     this.busyCores.delete(one);
--- a/src/fleet/soak.ts
+++ b/src/fleet/soak.ts
@@ -7,6 +7,7 @@
 import { callJson, Fleet } from './fleet.js';
 import { homes, type HomeName } from './homes.js';
 import { Load } from './load.js';
+import { VersionProbe } from './versionProbe.js';
 import { Watch } from './watch.js';
 import { Manifest } from '../version/manifest.js';
 
@@ -61,24 +62,13 @@
 const traffic = { ...home, manifest: { ...home.manifest, bindings: [...home.manifest.bindings, { id: 'moving', service: '', prefix: MOVING_PREFIX }] } };
 const load = new Load(fleet, traffic, new Chance(seed + 2), rate, () => maker.sound());
 const watch = new Watch(fleet);
+const probe = new VersionProbe(fleet, home, () => maker.changes);
 watch.start();
 load.start();
-const end = performance.now() + seconds * 1000;
-const caused = new Map<FaultName, number>();
-const causing = new Set<Promise<void>>();
-if (parsed.former !== undefined) {
-  await fleet.upgrade();
-}
-while (parsed.former === undefined && performance.now() < end) {
-  await new Promise((settle) => { setTimeout(settle, 200 + chance.below(800)); });
-  if (faults.length === 0 || causing.size >= 3) continue;
-  const fault = chance.of(faults);
-  caused.set(fault, (caused.get(fault) ?? 0) + 1);
-  const done = maker.cause(fault).then(() => { causing.delete(done); });
-  causing.add(done);
-}
-await Promise.all(causing);
-await load.stop();
+probe.start();
+if (parsed.former !== undefined) await fleet.upgrade();
+const caused: ReadonlyMap<FaultName, number> = parsed.former === undefined ? await maker.causeAny(faults, seconds, chance) : new Map();
+await Promise.all([load.stop(), probe.stop()]);
 const outages: OutageLog[] = [];
 if (faults.length > 0) {
   const backAt = await maker.herd();
@@ -94,7 +84,7 @@
 const readBack = await callJson<{ readonly serial: number; readonly manifest: unknown }>('GET', `${fleet.operator()}/v1/manifest`);
 const runs = fleet.logs((endpoint) => endpoint.runs);
 const verdicts = check({
-  sent: load.sent, answers: load.answers, runs, arrivals: fleet.logs((endpoint) => endpoint.arrivals), departures: maker.departures, changes: maker.changes, forces: watch.forces, outages, harms: maker.harms,
+  sent: load.sent, answers: load.answers, probes: probe.answers, runs, arrivals: fleet.logs((endpoint) => endpoint.arrivals), departures: maker.departures, changes: maker.changes, forces: watch.forces, outages, harms: maker.harms,
   readBack: readBack.status === 200 ? { serial: readBack.body.serial, content: Manifest.check(readBack.body.manifest).map((checked) => Manifest.fingerprint(checked)).unwrapOr('') } : null,
 });
 await fleet.end();
@@ -111,7 +101,7 @@
 const counts = {
   home: parsed.home, seconds, seed, rate, orders: load.answers.length, runs: runs.length,
   endings: tally((index) => { const answer = load.answers[index]; return `${answer?.ending} ${answer?.ending === 'answered' ? answer.status : answer?.reason}`; }, load.answers.length),
-  changes: tally((index) => maker.changes[index]?.outcome ?? '', maker.changes.length), departures: maker.departures.length, hops: Object.fromEntries(home.services.map(({ name }) => [name, hopsOf(name)])), faults: Object.fromEntries(caused),
+  changes: tally((index) => maker.changes[index]?.outcome ?? '', maker.changes.length), departures: maker.departures.length, probes: { asked: probe.answers.length, notCurrent: probe.notCurrent }, hops: Object.fromEntries(home.services.map(({ name }) => [name, hopsOf(name)])), faults: Object.fromEntries(caused),
   milliseconds: { median: quantile(0.5), p99: quantile(0.99) }, returnMs: outages[0]?.servedAt === null || outages[0] === undefined ? null : outages[0].servedAt - outages[0].backAt,
   verdicts: verdicts.map(({ line, faults: found }) => ({ line, faults: found.length, first: found.slice(0, 5) })),
 };
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -22,6 +22,8 @@
 const atPort = (at: number): RunLog => ({ ...run1, key: 'k2', service: 'port', instance: 'i2', at });
 const atLine = (at: number): RunLog => ({ ...run1, key: 'k2', instance: 'i2', at });
 const refused: AnswerLog = { ...answer1, key: 'k9', ending: 'not-run', status: 503, reason: 'turned-away-full' };
+const denied: AnswerLog = { ...answer1, key: 'k8', ending: 'not-run', status: 404, reason: 'no-binding' };
+const added: ChangeLog = { ...moved, routes: [...routes, { prefix: '/added', service: 'line' }] };
 const planted: readonly (readonly [string, Partial<Logs>])[] = [
   ['a write that is not repeatable runs twice', { runs: [run1, { ...run1, at: 105 }] }],
   ['a write is called not run and has run', { harms: [harm1], answers: [{ ...answer1, ending: 'not-run', status: 503 }, ...Array.from({ length: 600 }, () => answer1)] }],
@@ -29,6 +31,8 @@
   ['an answer that is not the endpoint\'s own whole one', { answers: [answer1, { ...answer1, key: 'k2' }] }],
   ['an order reaches a service that no manifest allowed', { arrivals: [atPort(150)] }],
   ['an order reaches a service that no manifest allowed', { changes: [...good.changes, moved], forces: [...good.forces, later].slice(0, 1), readBack: movedRead, arrivals: [atLine(3001)] }],
+  ['a route that is in force is denied', { answers: [answer1, denied] }],
+  ['a route that is in force is denied', { harms: [harm1, { ...harm1, machine: 'app1', until: 9000 }], probes: [{ ...denied, url: '/added/1', sentAt: 3001, endedAt: 3010 }], changes: [...good.changes, added], readBack: movedRead, forces: [force1] }],
   ['traffic after 2 s from an acknowledged leaving', { arrivals: [run1, { ...run1, key: 'k2', at: 2201 }] }],
   ['an acknowledged manifest is late or undone', { changes: [...good.changes, moved], readBack: movedRead, forces: [{ ...force1, at: 3001 }] }],
   ['an acknowledged manifest is late or undone', { changes: [...good.changes, moved], readBack: movedRead, forces: [later, { ...force1, at: 1751 }] }],
@@ -46,14 +50,14 @@
 
 test('clean logs pass every line', () => {
   assert.equal(check(good).filter((verdict) => verdict.faults.length > 0), []);
-  assert.is(check(good).length, 12);
+  assert.is(check(good).length, 13);
 });
 
 test('each planted violation fails its own line and no other', () => {
   for (const [line, change] of planted) {
     assert.equal(check({ ...good, ...change }).filter((verdict) => verdict.faults.length > 0).map((verdict) => verdict.line), [line], line);
   }
-  assert.is(new Set(planted.map(([line]) => line)).size, 12, 'every line has a violation planted');
+  assert.is(new Set(planted.map(([line]) => line)).size, 13, 'every line has a violation planted');
 });
 
 test('only what was harmed is excused, and only for as long', () => {
@@ -69,4 +73,14 @@
   assert.equal(failing({ changes: [...good.changes, moved], forces: [force1, later], readBack: movedRead, arrivals: [atLine(2999), atPort(1200)] }), []);
 });
 
+test('a route may be denied until 2 s after the change that added it, or when one that may stand has dropped it', () => {
+  const failing = (logs: Partial<Logs>): readonly string[] => check({ ...good, ...logs }).filter((verdict) => verdict.faults.length > 0).map((verdict) => verdict.line);
+  const withAdded: Partial<Logs> = { changes: [...good.changes, added], readBack: movedRead, forces: [force1] };
+  const deniedAt = (sentAt: number): AnswerLog => ({ ...denied, url: '/added/1', sentAt, endedAt: sentAt + 5 });
+  assert.equal(failing({ ...withAdded, probes: [deniedAt(500), deniedAt(2999)] }), []);
+  assert.is(failing({ ...withAdded, probes: [deniedAt(3001)] }).length, 1);
+  const undecided: ChangeLog = { ...moved, base: 2, serial: 0, outcome: 'undecided', sentAt: 4000, at: 5000, routes };
+  assert.equal(failing({ ...withAdded, changes: [...good.changes, added, undecided], probes: [deniedAt(6000)] }), []);
+});
+
 run();
