--- a/src/process/shareLease.ts
+++ b/src/process/shareLease.ts
@@ -3,7 +3,7 @@
 import { Gauge } from 'prom-client';
 import { NodePath } from '../connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
-import type { Instant } from './brands.js';
+import type { Instant, NodeName } from './brands.js';
 import type { Membership } from './membership.js';
 import type { Frame } from './program.js';
 import type { PlaceSettings } from './settings.js';
@@ -33,6 +33,8 @@
   private share = 0;
   private seen: { readonly count: number; readonly at: Instant } = { count: 0, at: 0 as Instant };
   private until: Instant = 0 as Instant;
+  /** The directory that lent last: the others don't hold the duty. */
+  private lender: NodeName | null = null;
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly highestNodes: number, private readonly need: () => ShareNeed) {
     const part = (): number => this.part();
@@ -67,11 +69,16 @@
     this.count();
     const start = this.frame.clock.now();
     const { wants, serviceShares } = this.need();
+    if (!wants && start >= this.until) return;
     const least = Math.max(0, 1 / Math.max(1, serviceShares) - FLOOR_PART / this.mostNodes()) / (1 - FLOOR_PART);
     const ask: ShareAsk = { node: this.frame.settings.node, boot: this.frame.boot, carried: start < this.until ? this.share : 0, wants, least: least * (1 + 1e-6) };
-    await Promise.all(this.membership.having('directory').map(async (member) => {
+    const directories = this.membership.having('directory');
+    const known = directories.filter(({ name }) => name === this.lender);
+    this.lender = null;
+    await Promise.all((known.length > 0 ? known : directories).map(async (member) => {
       const answer: Result<ShareAnswer, WireDefect> = await this.wire.call<ShareAnswer>(member.wire, NodePath.shares, ask, ASK_MS, shareAnswerShape);
       if (answer.isErr() || answer.value.share === null) return;
+      this.lender = member.name;
       this.share = answer.value.share;
       this.until = (start + SHARE_LEASE_MS) as Instant;
     }));
