--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -1,6 +1,7 @@
 import Joi from 'joi';
 import type { Address, BootId, EndpointId, InstanceId, NodeName, Serial, ServiceName, ZoneName } from '../process/brands.js';
 import type { HostWord, ServiceMarks } from '../version/endpointList.js';
+import { plainShape } from './shapes.js';
 import { LatencyHistogram } from '../version/latencyHistogram.js';
 import { rolloutSnapshotShape, type RolloutSnapshot } from '../version/rollout.js';
 import type { ToldMoment } from '../process/moment.js';
@@ -8,7 +9,7 @@
 import { endpointSnapshotShape, endpointRowShape, manifestSnapshotShape, maskSnapshotShape, type EndpointSnapshot, type EndpointRow, type ManifestSnapshot, type MaskSnapshot } from '../version/snapshots.js';
 
 /** The calls that a directory takes from switchboards and from other directories. */
-export const NodePath = { poll: '/node/poll', report: '/node/report', outcomes: '/node/outcomes', mask: '/directory/mask', snapshot: '/node/digest', rollout: '/node/rollout', shares: '/node/shares', list: '/directory/list', keepMark: '/node/marks/keep', findMark: '/node/marks/find' } as const;
+export const NodePath = { poll: '/node/poll', report: '/node/report', alive: '/node/alive', outcomes: '/node/outcomes', mask: '/directory/mask', snapshot: '/node/digest', rollout: '/node/rollout', shares: '/node/shares', list: '/directory/list', keepMark: '/node/marks/keep', findMark: '/node/marks/find' } as const;
 
 const text = Joi.string().max(256).required();
 const whole = Joi.number().integer().min(0).required();
@@ -93,6 +94,13 @@
   changed: Joi.number().integer().min(0), departed: Joi.array().items(item).max(10_000), leaving: Joi.array().items(item).max(10_000), mark: Joi.string().allow('').max(64),
 });
 
+/** A switchboard's word that its list is what it last reported; its numbers are those of a report. */
+export type AliveMessage = Pick<NodeReport, 'node' | 'boot' | 'life' | 'sequence' | 'manifest'> & { readonly changed: number; readonly mark: string };
+export const aliveShape = plainShape({ node: 'text', boot: 'text', life: 'number', sequence: 'whole', manifest: 'whole', changed: 'whole', mark: 'text' });
+/** Whether the directory holds that list; if not, it wants the report whole. */
+export interface AliveAnswer extends ReportAnswer { readonly isKnown: boolean }
+export const aliveAnswerShape = Joi.object({ isKnown: Joi.boolean().required(), above: Joi.number().min(0), departed: Joi.array().items(item), leaving: Joi.array().items(item) });
+
 /** An instance that said that it leaves, or that it is gone: whatever heartbeat comes late, it takes no new request. */
 export interface DepartureMark {
   readonly instance: InstanceId;
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -1,6 +1,6 @@
 import { Gauge, Histogram } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
-import type { DepartureMark, ListAsk, ListNews, MarkAnswer, MarkAsk, MarkKept, MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport, ReportAnswer } from '../connection/nodeCalls.js';
+import type { AliveAnswer, AliveMessage, DepartureMark, ListAsk, ListNews, MarkAnswer, MarkAsk, MarkKept, MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport, ReportAnswer } from '../connection/nodeCalls.js';
 import { MaskSnapshot, type EndpointRow } from '../version/snapshots.js';
 import { Windows } from '../version/windows.js';
 import { Manifest, type HealthRules } from '../version/manifest.js';
@@ -134,6 +134,12 @@
     return this.registry.adviceFor(message);
   }
 
+  /** A node's word that its list is what it was. */
+  alive(message: AliveMessage): AliveAnswer {
+    const report = this.registry.reportOf(message);
+    return report === null ? { isKnown: false } : { ...this.report(report), isKnown: true };
+  }
+
   keepMark(mark: DepartureMark): MarkKept {
     if (this.registry.keepMark(mark)) this.hasNews = true;
     return { isKept: true };
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -1,8 +1,8 @@
-import type { DepartureMark, ListAsk, ListHint, ListNews, MarkAnswer, MarkedInstance, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
+import type { AliveMessage, DepartureMark, ListAsk, ListHint, ListNews, MarkAnswer, MarkedInstance, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
 import type { EndpointSnapshot, EndpointRow } from '../version/snapshots.js';
 import { ListChanges } from '../version/listChanges.js';
 import { EndpointList, ListMark, type HostWord, type ListedWord, type ServiceMarks } from '../version/endpointList.js';
-import type { BootId, EndpointId, InstanceId, Instant, Millis, NodeName, Serial, ServiceName } from './brands.js';
+import type { Address, BootId, EndpointId, InstanceId, Instant, Millis, NodeName, Serial, ServiceName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
 
 /** Words that list nothing and marks of departure are kept so long; a silent host is listed half of it at most. */
@@ -71,6 +71,14 @@
     return this.take({ words: [{ ...word, silentMs: 0 }], departed: (report.departed ?? []).map((instance) => ({ instance, agoMs: 0 })) }, null);
   }
 
+  /** The report that a host's word stands for that its list is what it was; null when that list is not known here. */
+  reportOf({ node, boot, life, sequence, manifest, changed, mark }: AliveMessage): NodeReport | null {
+    const known = this.list.word(node);
+    if (known === undefined || known.isDropped || known.boot !== boot || known.life !== life || known.changed !== changed) return null;
+    const [row] = known.rows;
+    return { node, boot, life, sequence, manifest, changed, mark, rows: known.rows, zone: row?.zone ?? ('' as ZoneName), hop: row?.hop ?? ('' as Address) };
+  }
+
   /** Keeps a mark that a switchboard is about to acknowledge; whether it changed the list. */
   keepMark({ instance, state }: DepartureMark): boolean {
     if (!this.leavingAt.has(instance)) this.leavingAt.set(instance, this.clock.now());
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -1,7 +1,7 @@
-import { NodePath, reportAnswerShape, type NodeReport, type OutcomeReport, type OutcomeRow, type ReportAnswer } from '../connection/nodeCalls.js';
+import { aliveAnswerShape, NodePath, reportAnswerShape, type AliveAnswer, type AliveMessage, type NodeReport, type OutcomeReport, type OutcomeRow, type ReportAnswer } from '../connection/nodeCalls.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
 import type { EndpointRow } from '../version/snapshots.js';
-import { Address, type NodeName, type Serial, type ServiceName } from './brands.js';
+import { Address, type BootId, type NodeName, type Serial, type ServiceName } from './brands.js';
 import { HostVoice } from './hostVoice.js';
 import type { LocalEndpoints } from './localEndpoints.js';
 import type { Membership } from './membership.js';
@@ -25,6 +25,8 @@
   private isDue = false;
   private hasEnded = false;
   private met: ReadonlySet<string> = new Set();
+  /** Which list each directory, by its boot, has taken from here: the number of its last change. */
+  private readonly toldLists = new Map<BootId, number>();
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly endpoints: LocalEndpoints, private readonly book: OutcomeBook, private readonly serialNow: () => Serial, private readonly markNow: () => string, private readonly mergerOf: (service: ServiceName) => NodeName | null) {}
 
@@ -61,6 +63,7 @@
     const boots = this.membership.having('directory').map(({ boot }) => boot);
     const isNew = boots.some((boot) => !this.met.has(boot));
     this.met = new Set(boots);
+    for (const boot of this.toldLists.keys()) if (!this.met.has(boot)) this.toldLists.delete(boot);
     if (isNew) this.changed();
   }
 
@@ -71,15 +74,28 @@
       ({ id, service, instance, address, zone, slots, ...(version === undefined ? {} : { version }), leaving: leaving || this.isClosing, node: settings.node, nodeBoot: boot, hop }));
     const departed = this.endpoints.departedLately();
     const leaving = this.endpoints.leavingLately();
-    const report: NodeReport = {
+    const report = {
       node: settings.node, boot, ...this.voice.say(rows), zone: settings.zone, hop, manifest: this.serialNow(), rows, mark: this.markNow(), ...(departed.length > 0 ? { departed } : {}), ...(leaving.length > 0 ? { leaving } : {}),
-    };
-    await Promise.all(this.membership.having('directory').map(async ({ wire }) => {
+    } satisfies NodeReport;
+    const isPlain = departed.length + leaving.length === 0;
+    await Promise.all(this.membership.having('directory').map(async ({ wire, boot: directory }) => {
+      if (isPlain && this.toldLists.get(directory) === report.changed && await this.sayAlive(wire, report)) return;
       const answer: Result<ReportAnswer, WireDefect> = await this.wire.call<ReportAnswer>(wire, NodePath.report, report, TELL_MS, reportAnswerShape);
-      answer.map((advice) => this.heed(advice));
+      answer.map((advice) => {
+        this.toldLists.set(directory, report.changed);
+        this.heed(advice);
+      });
     }));
   }
 
+  /** Tells a directory that the list is what it was; whether that was enough. */
+  private async sayAlive(wire: Address, { node, boot, life, sequence, manifest, changed, mark }: NodeReport & { readonly changed: number; readonly mark: string }): Promise<boolean> {
+    const message: AliveMessage = { node, boot, life, sequence, manifest, changed, mark };
+    const answer: Result<AliveAnswer, WireDefect> = await this.wire.call<AliveAnswer>(wire, NodePath.alive, message, TELL_MS, aliveAnswerShape);
+    answer.map((advice) => this.heed(advice));
+    return answer.match(({ isKnown }) => isKnown, ({ kind }) => kind !== 'turned-away');
+  }
+
   private async sendOutcomes(): Promise<void> {
     this.turn += 1;
     const everywhere = this.book.report(this.turn % WHOLE_EVERY === 0 ? 'all' : 'failing');
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -4,7 +4,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { adminApp, wireServer } from '../../connection/admin.js';
 import { Listener } from '../../connection/listener.js';
-import { departureMarkShape, listAskShape, listNewsShape, markAskShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, rolloutReportShape, shareAskShape, type DepartureMark, type ListAsk, type ListNews, type MarkAsk, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport, type RolloutReport, type SnapshotAsk } from '../../connection/nodeCalls.js';
+import { aliveShape, departureMarkShape, listAskShape, listNewsShape, markAskShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, rolloutReportShape, shareAskShape, type AliveMessage, type DepartureMark, type ListAsk, type ListNews, type MarkAsk, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport, type RolloutReport, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { HopPath, probeAnswerShape, type ProbeAnswer } from '../../connection/hopCalls.js';
 import { addOperatorCalls } from '../../connection/operators.js';
 import { StoreClient } from '../../connection/storeCalls.js';
@@ -111,6 +111,7 @@
   const server = wireServer(frame);
   server.on<NodePoll>(NodePath.poll, nodePollShape, (message) => desk.poll(message));
   server.on<NodeReport>(NodePath.report, nodeReportShape, (message) => desk.report(message));
+  server.on<AliveMessage>(NodePath.alive, aliveShape, (message) => desk.alive(message));
   server.on<OutcomeReport>(NodePath.outcomes, outcomeReportShape, (message) => desk.outcomes(message));
   server.on<ShareAsk>(NodePath.shares, shareAskShape, (message) => desk.lend(message));
   server.on<MaskMessage>(NodePath.mask, maskMessageShape, (message) => desk.learnMasks(message));
