Put the periodic work of a process on one timer

A switchboard had nine timers of its own; now they share a grid of 250 ms, the check for a stall first.

--- a/src/process/delivery.ts
+++ b/src/process/delivery.ts
@@ -31,7 +31,7 @@
 /** A node that starts asks all directories at once, so long at a time; each answers as soon as it is current. */
 const FIRST_HOLD_MS = 300;
 const FIRST_REST_MS = 50;
-const NEIGHBOURS_MS = 300;
+const NEIGHBOURS_MS = 250;
 /** A directory of this zone that failed is passed over for so long. */
 const FAR_MS = 10_000;
 const NEIGHBOURS_ASKED = 5;
@@ -117,10 +117,10 @@
   }
 
   start(): void {
-    setInterval(() => {
+    this.frame.ticker.every(NEIGHBOURS_MS, () => {
       this.noteTouch();
       void this.askNeighbours();
-    }, NEIGHBOURS_MS).unref();
+    });
     void this.meetDirectories().then(() => this.follow());
   }
 
--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -10,6 +10,7 @@
 import { RELEASE } from './release.js';
 import { SentBytes } from './sentBytes.js';
 import { StallGuard } from './stall.js';
+import { Ticker } from './ticker.js';
 import { helpText, readCommandLine, readSettings, type PlaceSettings, type SettingTable } from './settings.js';
 
 
@@ -20,6 +21,8 @@
   readonly boot: BootId;
   readonly clock: Clock;
   readonly stalls: StallGuard;
+  /** Periodic work that needs no timer of its own. */
+  readonly ticker: Ticker;
   readonly metrics: Registry;
   /** Counts what is sent to other processes. */
   readonly sent: SentBytes;
@@ -95,9 +98,10 @@
   const log = pino({ level: settings.value.logLevel, base: { program: program.name, node: settings.value.node, boot } });
   const metrics = new Registry();
   addProcessMetrics(metrics);
-  const stalls = new StallGuard(Clock.monotonic);
+  const ticker = new Ticker();
+  const stalls = new StallGuard(Clock.monotonic, ticker);
   stalls.onStall((gap) => log.warn({ event: 'stall', gapMs: Math.round(gap) }, 'the process stood still'));
-  const started = await program.start({ settings: settings.value, log, boot, clock: Clock.monotonic, stalls, metrics, sent: new SentBytes(metrics) });
+  const started = await program.start({ settings: settings.value, log, boot, clock: Clock.monotonic, stalls, ticker, metrics, sent: new SentBytes(metrics) });
   if (started.isErr()) return refuseToRun(program.name, started.error.describe(), 1);
   guardRejections(log, metrics);
   const running = started.value;
--- a/src/process/reporter.ts
+++ b/src/process/reporter.ts
@@ -32,8 +32,8 @@
 
   start(): void {
     this.membership.onChange(() => this.meet());
-    setInterval(() => void this.sendList(), LIST_MS).unref();
-    setInterval(() => void this.sendOutcomes(), OUTCOMES_MS).unref();
+    this.frame.ticker.every(LIST_MS, () => void this.sendList());
+    this.frame.ticker.every(OUTCOMES_MS, () => void this.sendOutcomes());
   }
 
   /** Something changed: the directories hear of it at once. */
--- a/src/process/rolloutReporter.ts
+++ b/src/process/rolloutReporter.ts
@@ -20,7 +20,7 @@
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly membership: Membership, private readonly wire: WireClient, private readonly router: VersionRouter, private readonly stewardOf: (service: ServiceName) => NodeName | null) {}
 
   start(): void {
-    setInterval(() => this.tell(), TURN_MS).unref();
+    this.frame.ticker.every(TURN_MS, () => this.tell());
   }
 
   /** Reports at once where there is news: a stage waits for every node's word. */
--- a/src/process/shareLease.ts
+++ b/src/process/shareLease.ts
@@ -44,7 +44,7 @@
   start(): void {
     this.count();
     this.membership.onChange(() => this.count());
-    setInterval(() => void this.ask(), ASK_MS).unref();
+    this.frame.ticker.every(ASK_MS, () => void this.ask());
   }
 
   /** The part of every branch's shares that this node may use now. */
--- a/src/process/stall.ts
+++ b/src/process/stall.ts
@@ -1,7 +1,7 @@
 import type { Instant, Millis } from './brands.js';
 import type { Clock } from './clock.js';
+import { TICK_MS, type Ticker } from './ticker.js';
 
-const TICK_MS = 250;
 const STALL_MS = 500;
 
 /**
@@ -12,9 +12,9 @@
   private lastTick: Instant;
   private listeners: readonly ((gap: Millis) => void)[] = [];
 
-  constructor(private readonly clock: Clock) {
+  constructor(private readonly clock: Clock, ticker: Ticker) {
     this.lastTick = clock.now();
-    setInterval(() => this.check(), TICK_MS).unref();
+    ticker.every(TICK_MS, () => this.check());
   }
 
   /** Tells listeners first if the process has just come back from standing still. */
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -83,6 +83,10 @@
 const MOST_HEADER_BYTES = 64 * 1024;
 /** Marks of departure are looked after so soon after other processes have come or gone, in milliseconds. */
 const REPAIR_MS = 500;
+/** How often silent endpoints and idle connections are let go, in milliseconds. */
+const SWEEP_MS = 500;
+/** How often endpoints are looked for that are masked here and that no order has tried, in milliseconds. */
+const OVERDUE_MS = 1000;
 
 const explainShape = Joi.object({ method: Joi.string().required(), url: Joi.string().required(), host: Joi.string().allow('').required() });
 
@@ -190,18 +194,18 @@
   reporter.start();
   rolloutReporter.start();
   shares.start();
-  setInterval(() => {
+  frame.ticker.every(SWEEP_MS, () => {
     endpoints.sweep();
     orderDoor.keepIdle(delivery.now().manifest.limits.idleMs);
-  }, 500).unref();
-  setInterval(() => void probeOverdue(), 1000).unref();
+  });
+  frame.ticker.every(OVERDUE_MS, () => void probeOverdue());
   let hasNewMembers = false;
   membership.onChange(() => { hasNewMembers = true; });
-  setInterval(() => {
+  frame.ticker.every(REPAIR_MS, () => {
     if (!hasNewMembers) return;
     hasNewMembers = false;
     void marks.repair();
-  }, REPAIR_MS).unref();
+  });
   log.info({ event: 'listening', wire: wireDoor.address, admin: adminDoor.address, orders: orderDoor.address, beats: beatDoor.address });
   return ok({
     stop: async () => {
