--- a/src/fleet/daemon.ts
+++ b/src/fleet/daemon.ts
@@ -15,6 +15,10 @@
   readonly lines: LogLine[] = [];
   /** Where its program lies: this build, or another to be compared with. */
   programs = ownPrograms;
+  /** Options of Node itself. */
+  nodeOptions: readonly string[] = [];
+  /** The most descriptors that the process may open; the user's own limit when null. */
+  descriptors: number | null = null;
   private child: ChildProcess | null = null;
   private isTold = false;
   private ended: Promise<number | null> = Promise.resolve(null);
@@ -47,7 +51,9 @@
 
   /** Starts the process; resolves when it listens, rejects when it ends before that. */
   async start(): Promise<void> {
-    const child = spawn(process.execPath, [join(this.programs, `${this.program}.js`), ...this.flags], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const command = [process.execPath, ...this.nodeOptions, join(this.programs, `${this.program}.js`), ...this.flags];
+    const [program, ...words] = this.descriptors === null ? command as [string, ...string[]] : ['/bin/sh', '-c', `ulimit -n ${this.descriptors} && exec "$@"`, 'sh', ...command] as const;
+    const child = spawn(program, words, { stdio: ['ignore', 'pipe', 'pipe'] });
     this.child = child;
     this.isTold = false;
     running.add(child);
--- a/src/fleet/platformEndpoint.ts
+++ b/src/fleet/platformEndpoint.ts
@@ -284,7 +284,9 @@
 
   private answer(behaviour: PlatformBehaviour, record: PlatformRecord, socket: Socket, outgoing: ServerResponse): void {
     const { id, url, body: given } = record;
-    const body = JSON.stringify({ service: this.place.service, instance: this.instance, id, url, body: given });
+    const padding = 'x'.repeat(Number(/[?&]padding=(\d+)/.exec(url)?.[1] ?? 0));
+    const told = /[?&]brief\b/.test(url) ? String(given.length) : given;
+    const body = JSON.stringify({ service: this.place.service, instance: this.instance, id, url, body: told, ...(padding === '' ? {} : { padding }) });
     const sealed = { 'attempt-id': id, 'server-seal': `${this.instance}.${id}`, 'content-type': 'application/json' };
     const raw = (text: string, length = text.length): string =>
       `HTTP/1.1 200 OK\r\n${Object.entries(sealed).map(([name, value]) => `${name}: ${value}\r\n`).join('')}content-length: ${length}\r\n\r\n${text}`;
--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -18,6 +18,13 @@
 /** Enough to see it done; the platform's own settings ask for more. */
 export const REHEARSED = 20;
 
+/** What a machine may use, in the platform's words. */
+export const MACHINE_LIMITS = { memory_mb: 250, file_descriptors: 4100, disk_space_mb: 256 };
+
+/** The options of Node that the deploy file runs a program with. */
+const deployedOptions = (program: string): readonly string[] =>
+  new RegExp(`^run = "node (.*) target/${program}\\.cjs`, 'm').exec(readFileSync(join(templateFolder, 'system.toml'), 'utf8'))?.[1]?.split(' ') ?? [];
+
 /** A template that asks for a field that the platform does not give. */
 export class EmptyGap extends Defect {
   readonly kind = 'empty-gap';
@@ -44,6 +51,10 @@
   readonly cores?: number;
   /** How many requests endpoints get beyond their slots; none if not given, whatever the platform's settings say. */
   readonly backlog?: number;
+  /** The limits of every machine, in the platform's words, where they differ from `MACHINE_LIMITS`. */
+  readonly limits?: Partial<typeof MACHINE_LIMITS>;
+  /** Whether processes run with the options of the deploy file and no more descriptors than their limit. */
+  readonly isConfined?: boolean;
 }
 
 export interface PlatformMachine {
@@ -76,7 +87,7 @@
 
   private readonly backlog: number;
 
-  private constructor(plan: PlatformPlan, block: string, readonly folder: string) {
+  private constructor(private readonly plan: PlatformPlan, block: string, readonly folder: string) {
     this.backlog = plan.backlog ?? 0;
     this.cores = Array.from({ length: plan.cores ?? 3 }, (_, index) => ({ name: `core${index + 1}`, host: `${block}.${index + 1}`, service: '' }));
     this.machines = plan.services.map((service, index) => ({ name: `app${index + 1}`, host: `${block}.${index + 11}`, service }));
@@ -116,7 +127,7 @@
     return {
       node_name: machine.name, zone: 'zone1', ip_address: machine.host, service: machine.service, application: at(PLATFORM_PORTS.application), seed_nodes: this.cores.map((core) => `${core.host}:${control}`),
       internal_ports: [internal, internal + 9], listen_addresses: { outbound: at(outbound), inbound: at(inbound), control_plane: at(control), readiness: at(readiness) },
-      data_directory: join(this.folder, machine.name), limits: { disk_space_mb: 256 }, fault_tolerance: { machine_losses: 1 }, initial_start: isInitialStart,
+      data_directory: join(this.folder, machine.name), limits: { ...MACHINE_LIMITS, ...this.plan.limits }, fault_tolerance: { machine_losses: 1 }, initial_start: isInitialStart,
       bounds: { config_apply: '2000ms', retry_budget_ratio: 0.2, retry_allowance: 60 },
     };
   }
@@ -234,6 +245,10 @@
     const few = program === 'sidecar' ? ['--rehearsed-orders', String(REHEARSED), '--endpoint-backlog', String(this.backlog)] : [];
     const daemon = new Daemon(program, ['--settings', file, '--log-level', 'info', ...few], `${machine.host}:${adminPort}`);
     if (program !== 'ratebook') daemon.programs = join(distFolder, 'platform');
+    if (this.plan.isConfined === true) {
+      daemon.nodeOptions = deployedOptions(template);
+      daemon.descriptors = this.plan.limits?.file_descriptors ?? MACHINE_LIMITS.file_descriptors;
+    }
     return daemon;
   }
 }
