Bound what a process holds of bodies and answers, and what each connection may take

Callers saw a switchboard or a directory end out of memory at a single proper request (1 MB in chunks of one byte), 296 to 531 MiB at crowds of 30 to 50, no answers while connections that read nothing or say nothing came again, and 413 for bodies inside the limits of the configuration.

Causes: memory was bounded for one request and counted for no process; each piece of a body was kept as an object of its own and the whole was copied several times; times were Node's own and looked at every 30 s; one connection could have any number of requests under way.

Now a process counts the bytes that it holds of bodies and answers against a budget made of its machine's memory (memoryBudget); bodies lie in blocks, whatever pieces they come in (body, bodyReader), and go over links in parts once the receiver has room (transfer, serverLink), so the limit of 16 MiB is gone; an answer that an endpoint has ready waits for room. Who stands still is let go first. A guard at each door bounds connections, the time of heads, rests and answers by the configuration, the length of heads, and takes the requests of a connection one at a time (connectionGuard). The operators' door has a limit of 8 MiB and counts what the parsed form will take. Links: 16 an address, 2 MiB a message at switchboards.

--- a/src/connection/admin.ts
+++ b/src/connection/admin.ts
@@ -3,7 +3,11 @@
 import type { Membership } from '../process/membership.js';
 import type { Frame } from '../process/program.js';
 import type { PlaceSettings } from '../process/settings.js';
-import { WireServer } from './wire.js';
+import { FEW_CONNECTIONS, type DoorTerms } from './listener.js';
+import { WIRE_LIMIT, WireServer } from './wire.js';
+
+/** The part of a process's descriptors that connections of one of its lesser doors may take. */
+const FEW_SHARE = 0.125;
 
 /** Readiness, metrics and the member list: the same at every program. */
 export const adminApp = (frame: Frame<PlaceSettings>, membership: Membership, isReady: () => boolean): Hono => {
@@ -16,12 +20,22 @@
 };
 
 /** A server for other processes of the mesh; what is malformed or foreign is counted and logged. */
-export const wireServer = (frame: Frame<PlaceSettings>): WireServer => {
+export const wireServer = (frame: Frame<PlaceSettings>, limit = WIRE_LIMIT): WireServer => {
   const turnedAway = new Counter({ name: 'opalstair_wire_turned_away_total', help: 'Messages that were malformed or foreign', labelNames: ['path'], registers: [frame.metrics] });
   return new WireServer(frame.settings.cluster, {
     turnedAway: (path, reason) => {
       turnedAway.inc({ path });
       frame.log.warn({ event: 'message-turned-away', path, reason });
     },
-  }, frame.sent);
+  }, frame.sent, frame.memory, limit);
+};
+
+/** How every door of a process treats its connections; what it ends is counted by cause. */
+export const doorTerms = (frame: Frame<PlaceSettings>): DoorTerms => {
+  const ended = new Counter({ name: 'opalstair_connections_ended_total', help: 'Connections that were ended for what they took, by cause', labelNames: ['cause'], registers: [frame.metrics] });
+  const most = Math.min(FEW_CONNECTIONS, Math.floor(frame.settings.descriptors * FEW_SHARE));
+  return { ticker: frame.ticker, most, ended: (cause) => ended.inc({ cause }) };
 };
+
+/** The same for links of other processes. */
+export const linkTerms = ({ settings }: Frame<PlaceSettings>, terms: DoorTerms): DoorTerms => ({ ...terms, most: Math.floor(settings.descriptors * FEW_SHARE) });
--- a/src/connection/hopCalls.ts
+++ b/src/connection/hopCalls.ts
@@ -1,5 +1,8 @@
 import type { BindingId, BootId, EndpointId, InstanceId, NodeName, OrderId, Serial, ServiceName } from '../process/brands.js';
+import { Body } from './body.js';
+import { WithBody } from './serverLink.js';
 import { plainShape } from './shapes.js';
+import { INLINE_BYTES } from './transfer.js';
 
 /** The calls that a switchboard takes from other processes. */
 export const HopPath = { order: '/hop/order', verdict: '/hop/verdict', probe: '/hop/probe' } as const;
@@ -28,7 +31,7 @@
   readonly url: string;
   /** As `HeaderText` writes them. */
   readonly headers: string;
-  readonly body: Uint8Array;
+  readonly body: Body;
 }
 
 /** Why a host did not start an order. */
@@ -48,7 +51,7 @@
   readonly status: number;
   /** As `HeaderText` writes them. */
   readonly headers: string;
-  readonly body: Uint8Array;
+  readonly body: Body;
 }
 
 /** What came of one attempt, apart from the endpoint's own status. */
@@ -91,3 +94,27 @@
   of: (raw: readonly string[]): string => raw.join('\n'),
   read: (text: string): readonly string[] => (text === '' ? [] : text.split('\n')),
 } as const;
+
+type Packed<T extends { readonly body: Body }> = Omit<T, 'body'> & { readonly body: Uint8Array };
+/** An order as a message: its body is empty where that goes beside it, in parts. */
+export type HopOrderMessage = Packed<HopOrder>;
+type AnsweredMessage = Omit<Extract<HopVerdict, { kind: 'answered' }>, 'answer'> & { readonly answer: Packed<WholeAnswer> };
+/** A verdict as a message, likewise. */
+export type VerdictMessage = Exclude<VerdictAnswer, { kind: 'answered' }> | AnsweredMessage;
+
+const NOTHING = new Uint8Array();
+
+/** How orders and verdicts are put into messages: short bodies within them, long ones beside them. */
+export const HopMessages = {
+  ofOrder: (order: HopOrder): { readonly message: HopOrderMessage; readonly body: Body | null } => (order.body.length > INLINE_BYTES
+    ? { message: { ...order, body: NOTHING }, body: order.body } : { message: { ...order, body: order.body.joined() }, body: null }),
+  readOrder: (message: HopOrderMessage, body: Body | null): HopOrder => ({ ...message, body: body ?? Body.of(message.body) }),
+  ofVerdict: (verdict: VerdictAnswer): VerdictMessage | WithBody => {
+    if (verdict.kind !== 'answered') return verdict;
+    const { body } = verdict.answer;
+    const withBytes = (bytes: Uint8Array): AnsweredMessage => ({ ...verdict, answer: { ...verdict.answer, body: bytes } });
+    return body.length > INLINE_BYTES ? new WithBody(withBytes(NOTHING), body, () => withBytes(body.joined())) : withBytes(body.joined());
+  },
+  readVerdict: (message: VerdictMessage, body: Body | null): VerdictAnswer => (message.kind === 'answered'
+    ? { ...message, answer: { ...message.answer, body: body ?? Body.of(message.answer.body) } } : message),
+} as const;
--- a/src/connection/listener.ts
+++ b/src/connection/listener.ts
@@ -1,52 +1,59 @@
-import { createServer, type RequestListener, type Server, type ServerOptions } from 'node:http';
+import { createServer, type Server, type ServerOptions } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import type { getRequestListener as GetRequestListener, HttpBindings } from '@hono/node-server';
-import type { Hono } from 'hono';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { Address } from '../process/brands.js';
 import { Defect } from '../process/defect.js';
 
+import { Clock } from '../process/clock.js';
+import type { Ticker } from '../process/ticker.js';
+import { ConnectionGuard, type ConnectionLimits, type Door, type EndCause } from './connectionGuard.js';
 import type { WireServer } from './wire.js';
 
-const OPTIONS: ServerOptions = { keepAliveTimeout: 30_000, requestTimeout: 70_000, headersTimeout: 15_000 };
+/** Heads, rests and bodies are timed by the guard of the connections, not by Node's own server. */
+const OPTIONS: ServerOptions = { keepAliveTimeout: 30_000, requestTimeout: 0, headersTimeout: 0 };
+const LIMITS: ConnectionLimits = { headerMs: 15_000, idleMs: 60_000, headerBytes: 16 * 1024 };
+/** Connections at once at a door that few call: operators, endpoints of the same machine, whoever looks at readiness. */
+export const FEW_CONNECTIONS = 512;
+/** How often connections are looked at, in milliseconds. */
+const SWEEP_MS = 500;
+
+/** How a door treats its connections. */
+export interface DoorTerms {
+  /** Runs the sweep over the connections; a timer of the door's own when not given. */
+  readonly ticker?: Ticker;
+  readonly limits?: () => ConnectionLimits;
+  /** Connections at once. */
+  readonly most?: number;
+  readonly ended?: (cause: EndCause) => void;
+  readonly options?: ServerOptions;
+}
 
 export class ListenDefect extends Defect {
   readonly kind = 'cannot-listen';
 }
 
-/**
- * A door of hono. Its server brings Node's own fetch with it, which is a sixth of a program's start: it is loaded when
- * somebody first knocks.
- */
-export const honoDoor = (app: Hono<{ Bindings: HttpBindings }> | Hono): RequestListener => {
-  let door: Promise<ReturnType<typeof GetRequestListener>> | null = null;
-  return (incoming, outgoing) => {
-    door ??= import('@hono/node-server').then(({ getRequestListener }) => getRequestListener(app.fetch as Parameters<typeof GetRequestListener>[0]));
-    void door.then((answer) => answer(incoming, outgoing));
-  };
-};
-
 /** A listening HTTP server that can be closed without dropping what it has read. */
 export class Listener {
   private constructor(private readonly server: Server, readonly address: Address, private readonly wire: WireServer | null) {}
 
-  static open(app: Hono, host: string, port: number): ResultAsync<Listener, ListenDefect> {
-    return Listener.openPlain(honoDoor(app), host, port);
-  }
-
-  /** A door below hono, for what every request passes through. */
-  static openPlain(take: RequestListener, host: string, port: number, options: ServerOptions = {}): ResultAsync<Listener, ListenDefect> {
-    return Listener.listen(createServer({ ...OPTIONS, ...options }, take), host, port);
+  static open(door: Door, host: string, port: number, terms: DoorTerms = {}): ResultAsync<Listener, ListenDefect> {
+    return Listener.listen(createServer({ ...OPTIONS, ...terms.options }), door, host, port, terms);
   }
 
   /** A door for links of other processes alone. */
-  static openWire(wire: WireServer, host: string, port: number): ResultAsync<Listener, ListenDefect> {
-    const server = createServer(OPTIONS, (_incoming, outgoing) => outgoing.writeHead(426, { connection: 'close' }).end());
+  static openWire(wire: WireServer, host: string, port: number, terms: DoorTerms = {}): ResultAsync<Listener, ListenDefect> {
+    const server = createServer(OPTIONS);
     server.on('upgrade', (incoming, socket, head) => wire.take(incoming, socket, head));
-    return Listener.listen(server, host, port, wire);
+    return Listener.listen(server, (_incoming, outgoing) => outgoing.writeHead(426, { connection: 'close' }).end(), host, port, terms, wire);
   }
 
-  private static listen(server: Server, host: string, port: number, wire: WireServer | null = null): ResultAsync<Listener, ListenDefect> {
+  private static listen(server: Server, door: Door, host: string, port: number, terms: DoorTerms, wire: WireServer | null = null): ResultAsync<Listener, ListenDefect> {
+    const guard = new ConnectionGuard(Clock.monotonic, terms.limits ?? (() => LIMITS), terms.most ?? FEW_CONNECTIONS, terms.ended ?? (() => undefined), door);
+    guard.watch(server);
+    if (terms.ticker === undefined) {
+      const timer = setInterval(() => guard.sweep(), SWEEP_MS).unref();
+      server.once('close', () => clearInterval(timer));
+    } else terms.ticker.every(SWEEP_MS, () => guard.sweep());
     return new ResultAsync(new Promise<Result<Listener, ListenDefect>>((settle) => {
       server.once('error', (error) => settle(err(new ListenDefect(`${host}:${port}`, error))));
       server.listen(port, host, 1024, () => settle(ok(new Listener(server, Address.of(host, (server.address() as AddressInfo).port), wire))));
--- a/src/connection/plainDoor.ts
+++ b/src/connection/plainDoor.ts
@@ -1,5 +1,8 @@
-import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
-import { readWhole } from './orderDoor.js';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Clock } from '../process/clock.js';
+import type { MemoryBudget } from '../process/memoryBudget.js';
+import { readBody, type BodyDefect } from './bodyReader.js';
+import type { Door, Exchange } from './connectionGuard.js';
 
 /** What a call is answered with: a status and, where there is something to say, JSON. */
 export interface PlainAnswer {
@@ -40,18 +43,30 @@
   outgoing.end(body);
 };
 
+/** What a caller is told whose body could not be read: it has not run, and may come back where that helps. */
+export const BODY_REFUSALS = { 'body-too-long': 413, 'body-too-slow': 408, 'no-room-for-body': 503 } as const;
+/** When it is worth coming back to a process that has no room, in seconds. */
+const ROOM_RETRY_S = 1;
+
+/** Answers a call whose body was not read, and closes its connection. */
+export const refuseBody = (defect: BodyDefect | keyof typeof BODY_REFUSALS, memory: MemoryBudget, exchange: Exchange): void => {
+  const kind = typeof defect === 'string' ? defect : defect.kind;
+  if (kind === 'body-cut-off') return;
+  if (kind === 'no-room-for-body') memory.noteRefusal();
+  exchange.answerUnread(BODY_REFUSALS[kind], kind === 'no-room-for-body' ? ['Retry-After', String(ROOM_RETRY_S)] : [], new Uint8Array());
+};
+
 /** A door for a few calls that come often: nothing but Node's own server between it and the caller. Bodies are bounded, in bytes. */
-export const plainDoor = (calls: readonly PlainCall[], bodyLimit: number): RequestListener => {
-  const take = async (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> => {
-    const body = await readWhole(incoming, bodyLimit);
-    if (body.isErr()) {
-      if (body.error.kind === 'order-too-long') give(outgoing, { status: 413 });
-      return;
-    }
+export const plainDoor = (calls: readonly PlainCall[], bodyLimit: number, memory: MemoryBudget): Door => {
+  const take = async (incoming: IncomingMessage, outgoing: ServerResponse, exchange: Exchange): Promise<void> => {
+    const holding = memory.open();
+    outgoing.once('close', () => holding.close());
+    const body = await readBody(incoming, { limit: bodyLimit, holding, now: () => Clock.monotonic.now(), exchange });
+    if (body.isErr()) return refuseBody(body.error, memory, exchange);
     const found = calls.map((call) => ({ call, name: call.method === incoming.method ? nameIn(call.path, incoming.url ?? '') : null })).find(({ name }) => name !== null);
-    give(outgoing, found === undefined ? { status: 404 } : await found.call.answer(found.name ?? '', parsed(body.value)));
+    give(outgoing, found === undefined ? { status: 404 } : await found.call.answer(found.name ?? '', parsed(body.value.joined())));
   };
-  return (incoming, outgoing) => void take(incoming, outgoing).catch(() => {
+  return (incoming, outgoing, exchange) => void take(incoming, outgoing, exchange).catch(() => {
     if (!outgoing.headersSent) give(outgoing, { status: 500 });
   });
 };
--- a/src/process/defect.ts
+++ b/src/process/defect.ts
@@ -43,6 +43,11 @@
   readonly kind = 'lost';
 }
 
+/** The other side had no room for the message, and didn't look at it. */
+export class NoRoomDefect extends Defect {
+  readonly kind = 'no-room';
+}
+
 /** The other side answered with a status that says no; `isUnread` when it said so before it looked at the message. */
 export class TurnedAwayDefect extends Defect {
   readonly kind = 'turned-away';
--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -7,10 +7,11 @@
 import { brand, type BootId } from './brands.js';
 import { Clock } from './clock.js';
 import type { Defect } from './defect.js';
+import { MemoryBudget } from './memoryBudget.js';
 import { RELEASE } from './release.js';
 import { SentBytes } from './sentBytes.js';
 import { StallGuard } from './stall.js';
-import { Ticker } from './ticker.js';
+import { TICK_MS, Ticker } from './ticker.js';
 import { helpText, readCommandLine, readSettings, type PlaceSettings, type SettingTable } from './settings.js';
 
 
@@ -26,6 +27,8 @@
   readonly metrics: Registry;
   /** Counts what is sent to other processes. */
   readonly sent: SentBytes;
+  /** What bodies and answers may take of this process's memory. */
+  readonly memory: MemoryBudget;
 }
 
 /** A started program: how it is stopped, and how it takes changed settings. */
@@ -101,7 +104,9 @@
   const ticker = new Ticker();
   const stalls = new StallGuard(Clock.monotonic, ticker);
   stalls.onStall((gap) => log.warn({ event: 'stall', gapMs: Math.round(gap) }, 'the process stood still'));
-  const started = await program.start({ settings: settings.value, log, boot, clock: Clock.monotonic, stalls, ticker, metrics, sent: new SentBytes(metrics) });
+  const memory = MemoryBudget.ofProcess(settings.value.memoryMb, Clock.monotonic, metrics);
+  ticker.every(TICK_MS, () => memory.serveWaiters());
+  const started = await program.start({ settings: settings.value, log, boot, clock: Clock.monotonic, stalls, ticker, metrics, sent: new SentBytes(metrics), memory });
   if (started.isErr()) return refuseToRun(program.name, started.error.describe(), 1);
   guardRejections(log, metrics);
   const running = started.value;
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -18,6 +18,10 @@
   readonly adminPort: number;
   readonly memberPort: number;
   readonly logLevel: string;
+  /** What the process may use, in MB. */
+  readonly memoryMb: number;
+  /** How many descriptors it may have open. */
+  readonly descriptors: number;
   readonly probeMs: Millis;
   readonly suspectMs: Millis;
 }
@@ -55,6 +59,8 @@
   adminPort: { check: steppedPort(firstPort + 1, step + 1), help: 'port for readiness, metrics and operators' },
   memberPort: { check: steppedPort(firstPort + 2, step), help: 'UDP port for membership' },
   logLevel: { check: Joi.string().valid('debug', 'info', 'warn', 'error').default('info'), help: 'debug, info, warn or error' },
+  memoryMb: { check: Joi.number().integer().min(64).max(1_048_576).default(350), help: 'memory of this process in MB; bodies and answers that it holds take a third of it at most' },
+  descriptors: { check: Joi.number().integer().min(64).max(10_000_000).default(4096), help: 'descriptors of this process; callers\' connections take half of them at most' },
   probeMs: { check: millisSetting(500, 20), help: 'time between membership probes' },
   suspectMs: { check: millisSetting(2500, 50), help: 'how long a silent member is suspected before it is removed' },
 });
--- a/src/process/verdictBook.ts
+++ b/src/process/verdictBook.ts
@@ -4,6 +4,7 @@
 
 const ANSWER_KEPT_MS = 15_000;
 const MARK_KEPT_MS = 90_000;
+/** The most that kept answers may take, in bytes. */
 const MOST_BYTES = 64 * 1024 * 1024;
 const MOST_MARKS = 200_000;
 const MOST_CALLERS = 4096;
@@ -43,7 +44,7 @@
   private forgotCallers = false;
   private bytes = 0;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock, private readonly mostBytes = MOST_BYTES) {}
 
   /** The page of a hop that has just come in; a fresh one must be settled. */
   open(callerBoot: BootId, hop: number): Opening {
@@ -89,7 +90,7 @@
     const now = this.clock.now();
     for (let eldest = eldestOf(this.answers); eldest !== null; eldest = eldestOf(this.answers)) {
       const [key, answer] = eldest;
-      if (now - answer.at <= ANSWER_KEPT_MS && this.bytes <= MOST_BYTES) break;
+      if (now - answer.at <= ANSWER_KEPT_MS && this.bytes <= this.mostBytes) break;
       this.answers.delete(key);
       this.bytes -= answer.bytes;
       this.marks.set(key, { callerBoot: answer.callerBoot, hop: answer.hop, at: now, isFenced: false });
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -2,7 +2,8 @@
 import Joi from 'joi';
 import { Counter } from 'prom-client';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { adminApp, wireServer } from '../../connection/admin.js';
+import { adminApp, doorTerms, linkTerms, wireServer } from '../../connection/admin.js';
+import { honoDoor } from '../../connection/honoDoor.js';
 import { Listener } from '../../connection/listener.js';
 import { aliveShape, departureMarkShape, listAskShape, listNewsShape, markAskShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, rolloutReportShape, shareAskShape, type AliveMessage, type DepartureMark, type ListAsk, type ListNews, type MarkAsk, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport, type RolloutReport, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { HopPath, probeAnswerShape, type ProbeAnswer } from '../../connection/hopCalls.js';
@@ -156,8 +157,9 @@
     roster: () => ({ voters: follower.voters(), isCurrent: follower.isCurrent() }),
     allowances: () => ({ rules: follower.manifest()?.manifest.allowance ?? null, shares: desk.shareViews() }),
   });
-  const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
-    ...(door === null || settings.operatorPort === undefined ? [] : [Listener.open(door(clerk, rollouts, keptBack(settings)), settings.listenHost, settings.operatorPort)])]);
+  const terms = doorTerms(frame);
+  const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort, linkTerms(frame, terms)), Listener.open(honoDoor(admin, frame.memory), settings.listenHost, settings.adminPort, terms),
+    ...(door === null || settings.operatorPort === undefined ? [] : [Listener.open(honoDoor(door(clerk, rollouts, keptBack(settings)), frame.memory), settings.listenHost, settings.operatorPort, terms)])]);
   if (listeners.isErr()) return err(listeners.error);
   membership.announce();
   desk.start();
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -1,18 +1,19 @@
-import type { RequestListener } from 'node:http';
 import { Hono } from 'hono';
 import Joi from 'joi';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { Counter, Gauge } from 'prom-client';
-import { adminApp, wireServer } from '../../connection/admin.js';
+import { adminApp, doorTerms, linkTerms, wireServer } from '../../connection/admin.js';
 import { beatApp, type BeatDesk } from '../../connection/beatDoor.js';
 import { EndpointLinks } from '../../connection/endpointLinks.js';
-import { HopPath, hopOrderShape, probeAnswerShape, probeAskShape, verdictAskShape, type HopOrder, type ProbeAnswer, type ProbeAsk, type VerdictAsk } from '../../connection/hopCalls.js';
-import { honoDoor, Listener } from '../../connection/listener.js';
+import { HopPath, hopOrderShape, probeAnswerShape, probeAskShape, verdictAskShape, HopMessages, type HopOrderMessage, type ProbeAnswer, type ProbeAsk, type VerdictAsk } from '../../connection/hopCalls.js';
+import type { Door } from '../../connection/connectionGuard.js';
+import { honoDoor } from '../../connection/honoDoor.js';
+import { Listener, type DoorTerms } from '../../connection/listener.js';
 import { departureMarkShape, markAskShape, NodePath, snapshotAskShape, type DepartureMark, type MarkAsk, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { problem } from '../../connection/operators.js';
 import { orderDoor as takeOrders } from '../../connection/orderDoor.js';
 import { ownSpeech, type Speech } from '../../connection/speech.js';
-import { WireClient, type WireDefect } from '../../connection/wire.js';
+import { SHORT_WIRE_LIMIT, WireClient, type WireDefect } from '../../connection/wire.js';
 import { addressShape } from '../../process/addressShape.js';
 import { Allowance } from '../../process/allowance.js';
 import type { Address, Millis, NodeName, OrderId, ServiceName } from '../../process/brands.js';
@@ -23,6 +24,7 @@
 import { Membership } from '../../process/membership.js';
 import { OutcomeBook } from '../../process/outcomeBook.js';
 import { Picker } from '../../process/picker.js';
+import type { MemoryBudget } from '../../process/memoryBudget.js';
 import type { Frame, Program, Running } from '../../process/program.js';
 import { Reporter } from '../../process/reporter.js';
 import { RolloutReporter } from '../../process/rolloutReporter.js';
@@ -56,9 +58,9 @@
 /** How a switchboard meets callers, endpoints and whoever looks at its readiness. */
 export interface SwitchboardDoors {
   readonly speech: Speech;
-  readonly beats: (desk: BeatDesk) => RequestListener;
+  readonly beats: (desk: BeatDesk, memory: MemoryBudget) => Door;
   /** A door for readiness alone, beside the admin port's. */
-  readonly ready: (isReady: () => boolean) => RequestListener;
+  readonly ready: (isReady: () => boolean, memory: MemoryBudget) => Door;
 }
 
 const table: SettingTable = {
@@ -81,6 +83,9 @@
 };
 
 const MOST_HEADER_BYTES = 64 * 1024;
+/** Callers' connections at once: as many as this, and this part of the descriptors; the others are for endpoints, other processes and files. */
+const CALLERS_MOST = 2000;
+const CALLERS_SHARE = 0.5;
 /** Marks of departure are looked after so soon after other processes have come or gone, in milliseconds. */
 const REPAIR_MS = 500;
 /** How often silent endpoints and idle connections are let go, in milliseconds. */
@@ -145,9 +150,9 @@
     await rehearsal.close();
     log.info({ event: 'rehearsed', orders: whole });
   };
-  const server = wireServer(frame);
-  server.on<HopOrder>(HopPath.order, hopOrderShape, (message) => hosting.run(message));
-  server.on<VerdictAsk>(HopPath.verdict, verdictAskShape, (message) => hosting.verdictOf(message));
+  const server = wireServer(frame, SHORT_WIRE_LIMIT);
+  server.on<HopOrderMessage>(HopPath.order, hopOrderShape, async (message, { body, holding }) => HopMessages.ofVerdict(await hosting.run(HopMessages.readOrder(message, body), holding)));
+  server.on<VerdictAsk>(HopPath.verdict, verdictAskShape, async (message) => HopMessages.ofVerdict(await hosting.verdictOf(message)));
   server.on<ProbeAsk>(HopPath.probe, probeAskShape, (message) => hosting.probe(message));
   server.on<SnapshotAsk>(NodePath.snapshot, snapshotAskShape, (message) => delivery.snapshot(message));
   server.on<DepartureMark>(NodePath.keepMark, departureMarkShape, (message) => endpoints.keepMark(message));
@@ -171,7 +176,7 @@
       return forwarder.carry(order);
     },
     isClosing: () => closing, ordersAtOnce: settings.ordersAtOnce,
-    failed: (error) => log.error({ event: 'internal-defect', error: error.stack }), speech: doors.speech, bodyLimit: () => delivery.now().manifest.limits.bodyBytes,
+    failed: (error) => log.error({ event: 'internal-defect', error: error.stack }), speech: doors.speech, limits: () => delivery.now().manifest.limits, memory: frame.memory,
   });
   const beats = doors.beats({
     endpoints, marks, ownHosts: [settings.host, settings.listenHost], checkStall: () => frame.stalls.check(),
@@ -179,11 +184,16 @@
       beatsTurnedAway.inc();
       log.warn({ event: 'beat-turned-away', endpoint: id, reason });
     },
-  });
+  }, frame.memory);
+  const terms = doorTerms(frame);
+  const callerTerms: DoorTerms = {
+    ...terms, most: Math.min(CALLERS_MOST, Math.floor(settings.descriptors * CALLERS_SHARE)), options: { maxHeaderSize: MOST_HEADER_BYTES },
+    limits: () => delivery.now().manifest.limits,
+  };
   const listeners = await ResultAsync.combine([
-    Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort),
-    Listener.openPlain(orders, settings.listenHost, settings.orderPort, { maxHeaderSize: MOST_HEADER_BYTES }), Listener.openPlain(beats, settings.listenHost, settings.beatPort),
-    ...(settings.readyPort === undefined ? [] : [Listener.openPlain(doors.ready(isReady), settings.listenHost, settings.readyPort)]),
+    Listener.openWire(server, settings.listenHost, settings.wirePort, linkTerms(frame, terms)), Listener.open(honoDoor(admin, frame.memory), settings.listenHost, settings.adminPort, terms),
+    Listener.open(orders, settings.listenHost, settings.orderPort, callerTerms), Listener.open(beats, settings.listenHost, settings.beatPort, terms),
+    ...(settings.readyPort === undefined ? [] : [Listener.open(doors.ready(isReady, frame.memory), settings.listenHost, settings.readyPort, terms)]),
   ]);
   if (listeners.isErr()) return err(listeners.error);
   const [wireDoor, adminDoor, orderDoor, beatDoor, readyDoor] = listeners.value as [Listener, Listener, Listener, Listener, Listener?];
@@ -236,6 +246,6 @@
 
 /** Opalstair's own doors. */
 export const ownDoors: SwitchboardDoors = {
-  speech: ownSpeech, beats: (desk) => honoDoor(beatApp(desk)),
-  ready: (isReady) => honoDoor(new Hono().get('/ready', (context) => context.json({ ready: isReady() }, isReady() ? 200 : 503)) as unknown as Hono),
+  speech: ownSpeech, beats: (desk, memory) => honoDoor(beatApp(desk), memory),
+  ready: (isReady, memory) => honoDoor(new Hono().get('/ready', (context) => context.json({ ready: isReady() }, isReady() ? 200 : 503)) as unknown as Hono, memory),
 };
--- a/src/programs/ratebook.ts
+++ b/src/programs/ratebook.ts
@@ -2,7 +2,8 @@
 import { randomBytes } from 'node:crypto';
 import Joi from 'joi';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { adminApp, wireServer } from '../connection/admin.js';
+import { adminApp, doorTerms, linkTerms, wireServer } from '../connection/admin.js';
+import { honoDoor } from '../connection/honoDoor.js';
 import { Listener } from '../connection/listener.js';
 import { askShape, changeShape, committedShape, copyShape, keyShape, pollShape, replaceShape, StoreClient, StorePath, type AskMessage, type ChangeMessage, type CommittedMessage, type CopyMessage, type KeyMessage, type PollMessage, type ReplaceMessage } from '../connection/storeCalls.js';
 import { WireClient } from '../connection/wire.js';
@@ -60,7 +61,8 @@
   server.on<PollMessage>(StorePath.poll, pollShape, (message) => books.poll(message));
   let stopping = false;
   const admin = adminApp(frame, membership.value, () => books.isReady && !stopping);
-  const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort), Listener.open(admin, settings.listenHost, settings.adminPort)]);
+  const terms = doorTerms(frame);
+  const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort, linkTerms(frame, terms)), Listener.open(honoDoor(admin, frame.memory), settings.listenHost, settings.adminPort, terms)]);
   if (listeners.isErr()) return err(listeners.error);
   membership.value.announce();
   books.start();
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -1,10 +1,12 @@
 import { Histogram } from 'prom-client';
-import { HeaderText, HopPath, verdictShape, type HopOrder, type HopVerdict, type VerdictAnswer, type WholeAnswer } from '../connection/hopCalls.js';
+import type { Body } from '../connection/body.js';
+import { HeaderText, HopMessages, HopPath, verdictShape, type HopOrder, type HopVerdict, type VerdictMessage, type VerdictAnswer, type WholeAnswer } from '../connection/hopCalls.js';
 import { Headers, type RawHeaders } from '../connection/headers.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
 import type { Allowance } from '../process/allowance.js';
 import type { Instant, OrderId, ServiceName } from '../process/brands.js';
 import type { InForce, TablesInForce } from '../process/delivery.js';
+import type { Holding } from '../process/memoryBudget.js';
 import type { OutcomeBook, AttemptOutcome } from '../process/outcomeBook.js';
 import type { Pick, Picker, PickTables } from '../process/picker.js';
 import type { Frame } from '../process/program.js';
@@ -26,7 +28,9 @@
   readonly url: string;
   readonly host: string;
   readonly headers: RawHeaders;
-  readonly body: Uint8Array;
+  readonly body: Body;
+  /** The bytes of this order and its answer. */
+  readonly holding: Holding;
 }
 
 /** How an order ends: with the endpoint's answer, or with a word of opalstair's own. */
@@ -199,7 +203,7 @@
     this.parts.picker.started(row);
     this.parts.versions.started(row);
     const event = row.nodeBoot === this.frame.boot
-      ? { kind: 'verdict' as const, verdict: await this.parts.hosting.run(hopOrder) } : await this.send(hopOrder, row);
+      ? { kind: 'verdict' as const, verdict: await this.parts.hosting.run(hopOrder, trip.given.holding) } : await this.send(hopOrder, row, trip.given.holding);
     this.parts.picker.ended(row, event.kind === 'verdict' ? event.verdict.load : null);
     this.parts.versions.ended(row);
     this.count(trip, row, event);
@@ -207,10 +211,14 @@
     return event;
   }
 
-  private async send(hopOrder: HopOrder, row: EndpointRow): Promise<OrderEvent> {
-    const answer: Result<HopVerdict, WireDefect> = await this.parts.wire.call<HopVerdict>(row.hop, HopPath.order, hopOrder, hopOrder.leftMs + HOP_GRACE_MS, verdictShape);
-    return answer.match<OrderEvent>((verdict) => ({ kind: 'verdict', verdict }), (defect) => (defect.kind === 'unreachable' || (defect.kind === 'turned-away' && defect.isUnread)
-      ? { kind: 'hostUnreachable', detail: defect.describe() } : { kind: 'hopLost', detail: defect.describe() }));
+  private async send(hopOrder: HopOrder, row: EndpointRow, holding: Holding): Promise<OrderEvent> {
+    const { message, body } = HopMessages.ofOrder(hopOrder);
+    const answer: Result<{ readonly answer: VerdictMessage; readonly body: Body | null }, WireDefect> =
+      await this.parts.wire.exchange<VerdictMessage>(row.hop, HopPath.order, message, hopOrder.leftMs + HOP_GRACE_MS, verdictShape, { body, holding });
+    return answer.match<OrderEvent>((found) => ({ kind: 'verdict', verdict: HopMessages.readVerdict(found.answer, found.body) as HopVerdict }), (defect) => {
+      const isUnsent = defect.kind === 'unreachable' || defect.kind === 'no-room' || (defect.kind === 'turned-away' && defect.isUnread);
+      return isUnsent ? { kind: 'hostUnreachable', detail: defect.describe(), isFull: defect.kind === 'no-room' } : { kind: 'hopLost', detail: defect.describe() };
+    });
   }
 
   /** Asks the same boot of the host what became of a hop, as long as there is time and someone to ask. */
@@ -219,7 +227,9 @@
     while (this.left(trip) > 0) {
       const leftMs = this.left(trip);
       const ask = { callerBoot: this.frame.boot, hop: trip.hop, hostBoot: row.nodeBoot, leftMs };
-      const answer: Result<VerdictAnswer, WireDefect> = await this.parts.wire.call<VerdictAnswer>(row.hop, HopPath.verdict, ask, Math.min(leftMs + HOP_GRACE_MS, LOOK_UP_MS), verdictShape);
+      const found: Result<{ readonly answer: VerdictMessage; readonly body: Body | null }, WireDefect> =
+        await this.parts.wire.exchange<VerdictMessage>(row.hop, HopPath.verdict, ask, Math.min(leftMs + HOP_GRACE_MS, LOOK_UP_MS), verdictShape, { body: null, holding: trip.given.holding });
+      const answer = found.map<VerdictAnswer>(({ answer: message, body }) => HopMessages.readVerdict(message, body));
       if (answer.isOk()) {
         if ('load' in answer.value) this.count(trip, row, { kind: 'verdict', verdict: answer.value });
         return { kind: 'lookedUp', answer: answer.value };
@@ -241,6 +251,7 @@
 
   private count(trip: Trip, row: EndpointRow, event: OrderEvent): void {
     const note = (outcome: AttemptOutcome): void => this.parts.book.note(row, outcome);
+    if (event.kind === 'hostUnreachable' && event.isFull) return note('turnedAway');
     if (event.kind === 'hostUnreachable' || event.kind === 'hopLost') {
       this.parts.picker.rest(row);
       return note('pathDefect');
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -2,10 +2,12 @@
 import { HeaderText, type HopOrder, type HopVerdict, type ProbeAnswer, type ProbeAsk, type TurnAwayCause, type VerdictAnswer, type VerdictAsk } from '../connection/hopCalls.js';
 import { exchangeWithEndpoint } from '../connection/endpointExchange.js';
 import type { EndpointLinks } from '../connection/endpointLinks.js';
+import { Body } from '../connection/body.js';
 import type { Speech } from '../connection/speech.js';
 import type { Address, EndpointId, InstanceId, Instant, OrderId, Serial, ServiceName, ZoneName } from '../process/brands.js';
 import { Manifest, type Binding } from '../version/manifest.js';
 import { type Announcement, MET_SEQUENCE } from '../process/announcement.js';
+import type { Holding } from '../process/memoryBudget.js';
 import type { LocalEndpoints, Waiting } from '../process/localEndpoints.js';
 import type { Frame } from '../process/program.js';
 import type { PlaceSettings } from '../process/settings.js';
@@ -26,6 +28,10 @@
 const AIM_SHARE = 0.2;
 const HIGHEST_AIM_SHARE = 0.6;
 
+/** Answers that are kept for callers who lost sight of them take at most so much, in bytes, and this part of what the process may hold. */
+const KEPT_ANSWERS_MOST = 64 * 1024 * 1024;
+const KEPT_ANSWERS_SHARE = 0.125;
+
 /** The manifest as the host needs it. */
 export interface HostManifest {
   serial(): Serial;
@@ -45,14 +51,14 @@
   private isStopping = false;
 
   constructor(private readonly frame: Frame<PlaceSettings>, private readonly endpoints: LocalEndpoints, private readonly manifest: HostManifest, private readonly links: EndpointLinks, private readonly speech: Speech, private readonly versions: Pick<VersionRouter, 'isReverted'>) {
-    this.book = new VerdictBook(frame.clock);
+    this.book = new VerdictBook(frame.clock, Math.min(KEPT_ANSWERS_MOST, frame.memory.totalBytes * KEPT_ANSWERS_SHARE));
     this.turnAways = new Tally(frame.metrics, 'opalstair_host_turn_aways_total', 'Orders that this machine did not start, by cause', ['cause']);
     const running = (): number => this.runningOrders;
     new Gauge({ name: 'opalstair_host_running', help: 'Orders that run at the endpoints of this machine', registers: [frame.metrics], collect() { this.set(running()); } });
   }
 
   /** Runs an order once at most; a hop that came before gets the verdict of its first run. */
-  async run(order: HopOrder): Promise<HopVerdict> {
+  async run(order: HopOrder, holding: Holding): Promise<HopVerdict> {
     this.frame.stalls.check();
     const now = this.frame.clock.now();
     const arrival = (now - this.transit.delayOf(order.callerBoot, order.sentAt, now)) as Instant;
@@ -65,7 +71,7 @@
         return { kind: 'defect', defect: 'forgotten', detail: 'this hop may have run before', mayHaveRun: true, load: this.endpoints.load(order.endpoint) };
       case 'fresh': {
         this.runningOrders += 1;
-        const verdict = await this.attempt(order, arrival);
+        const verdict = await this.attempt(order, arrival, holding);
         this.runningOrders -= 1;
         opening.settle(verdict);
         return verdict;
@@ -83,10 +89,12 @@
     if (target.isErr()) return { serves: false };
     const { address } = target.value;
     const path = this.manifest.probeOf(ask.service) ?? target.value.path;
+    const holding = this.frame.memory.open();
     const answer = await exchangeWithEndpoint({
-      agent: this.links.agentOf(address, ask.instance), method: 'GET', url: path, headers: ['host', address, 'user-agent', 'opalstair-probe'], body: new Uint8Array(), leftMs: PROBE_MS,
+      agent: this.links.agentOf(address, ask.instance), method: 'GET', url: path, headers: ['host', address, 'user-agent', 'opalstair-probe'], body: Body.empty, holding, leftMs: PROBE_MS,
       fault: () => this.endpoints.probeTarget(ask).match(() => null, (cause) => cause), read: () => ({ isOwn: null, isNotRun: false, fault: null }), onOdd: () => undefined,
     });
+    holding.close();
     return { serves: answer.match((found) => found.status < 500, () => false) };
   }
 
@@ -108,10 +116,12 @@
   private async instanceAt(address: Address, service: ServiceName): Promise<string | null> {
     const path = this.manifest.probeOf(service);
     if (path === null) return null;
+    const holding = this.frame.memory.open();
     const answer = await exchangeWithEndpoint({
-      agent: this.links.agentOf(address, ''), method: 'GET', url: path, headers: ['host', address, 'user-agent', 'opalstair-probe'], body: new Uint8Array(), leftMs: PROBE_MS,
+      agent: this.links.agentOf(address, ''), method: 'GET', url: path, headers: ['host', address, 'user-agent', 'opalstair-probe'], body: Body.empty, holding, leftMs: PROBE_MS,
       fault: () => null, read: () => ({ isOwn: null, isNotRun: false, fault: null }), onOdd: () => undefined,
     });
+    holding.close();
     this.links.forget(address, '');
     return answer.isOk() && answer.value.status === 200 ? this.speech.instanceOf(HeaderText.read(answer.value.headers)) : null;
   }
@@ -121,7 +131,7 @@
     this.isStopping = true;
   }
 
-  private async attempt(order: HopOrder, arrival: Instant): Promise<HopVerdict> {
+  private async attempt(order: HopOrder, arrival: Instant, holding: Holding): Promise<HopVerdict> {
     const deadline = arrival + order.leftMs;
     const left = (): number => deadline - this.frame.clock.now();
     if (this.isStopping) return this.turnAway(order, 'stopping');
@@ -139,7 +149,7 @@
     const start = this.frame.clock.now();
     const answer = await exchangeWithEndpoint({
       agent: this.links.agentOf(address, order.instance), method: order.method, url: order.url,
-      headers: [...HeaderText.read(order.headers), ...this.speech.toEndpoint({ order: order.order as OrderId, instance: order.instance, leftMs: left() })], body: order.body, leftMs: left(),
+      headers: [...HeaderText.read(order.headers), ...this.speech.toEndpoint({ order: order.order as OrderId, instance: order.instance, leftMs: left() })], body: order.body, holding, leftMs: left(),
       fault: () => faultNow() ?? seat.value.recheck(), read: (status, headers) => this.speech.ofAnswer(status, headers, order.request), onOdd: () => this.links.noteOdd(`${address}/${order.instance}`),
     });
     const tookMs = this.frame.clock.now() - start;
--- a/src/request/orderOwner.ts
+++ b/src/request/orderOwner.ts
@@ -12,7 +12,7 @@
   /** A hop came back with the host's verdict. */
   | { readonly kind: 'verdict'; readonly verdict: HopVerdict }
   /** The hop was not sent. */
-  | { readonly kind: 'hostUnreachable'; readonly detail: string }
+  | { readonly kind: 'hostUnreachable'; readonly detail: string; /** It is there, and has no room for the order. */ readonly isFull: boolean }
   /** The hop was sent and no verdict came. */
   | { readonly kind: 'hopLost'; readonly detail: string }
   | { readonly kind: 'lookedUp'; readonly answer: VerdictAnswer }
