Count the bytes behind an answer's head, so that surplus ones are seen after a closing answer

Callers got 200 for an answer with "connection: close" behind which more bytes came: no whole answer of the endpoint's own, and a write was called served. Node's client (20.19.0, arm64) reports no bytes after such an answer, though it does after one that keeps the connection.

The exchange now counts what comes behind the head and holds it against the answer's own length. After an interim answer (1xx) it doesn't know, and says nothing. Chunked answers with surplus bytes after a closing answer are still not seen.

--- a/src/connection/endpointExchange.ts
+++ b/src/connection/endpointExchange.ts
@@ -76,6 +76,47 @@
 /** After these the connection, and the endpoint for a while, is not trusted with another request. */
 const ODD_KINDS: ReadonlySet<string> = new Set(['broken-answer', 'foreign-answer', 'answer-too-long']);
 
+const HEAD_END = '\r\n\r\n';
+
+/**
+ * Counts the bytes that come behind the head of an answer. Node's client drops what follows an answer with
+ * `connection: close`; such an answer is not the endpoint's own, whole one.
+ */
+class BytesBehindHead {
+  private head = '';
+  private count: number | null = null;
+  /** After an interim answer the head that was found is not the last one. */
+  private isSure = true;
+
+  constructor(private readonly socket: Socket) {
+    socket.on('data', this.add);
+  }
+
+  /** How many came; null when that can't be told. */
+  get bytes(): number | null {
+    return this.isSure ? this.count : null;
+  }
+
+  doubt(): void {
+    this.isSure = false;
+  }
+
+  stop(): void {
+    this.socket.removeListener('data', this.add);
+  }
+
+  private readonly add = (piece: Buffer): void => {
+    if (this.count !== null) {
+      this.count += piece.length;
+      return;
+    }
+    const start = this.head.slice(1 - HEAD_END.length);
+    const found = (start + piece.toString('latin1')).indexOf(HEAD_END);
+    if (found === -1) this.head = (start + piece.toString('latin1')).slice(1 - HEAD_END.length);
+    else this.count = start.length + piece.length - found - HEAD_END.length;
+  };
+}
+
 /** Says what a whole answer is worth: the endpoint's own, a refusal, or somebody else's. */
 const judged = (order: EndpointOrder, answer: IncomingMessage, socket: Socket, body: Body): Result<WholeAnswer, EndpointDefect> => {
   const status = answer.statusCode ?? 0;
@@ -87,6 +128,13 @@
   return ok({ status, headers: HeaderText.of(answer.rawHeaders), body });
 };
 
+/** Whether more came than the answer's own length says. */
+const hasSurplus = (order: EndpointOrder, answer: IncomingMessage, behindHead: number | null): boolean => {
+  const status = answer.statusCode ?? 0;
+  const named = order.method === 'HEAD' || status === 204 || status === 304 ? '0' : answer.headers['content-length'];
+  return behindHead !== null && named !== undefined && behindHead > Number(named);
+};
+
 /** What can't be written as a request is not sent: Node's client throws at once. */
 const openRequest = Result.fromThrowable((order: EndpointOrder): ClientRequest => request({
   method: order.method, path: order.url, headers: Headers.toRecord(order.headers) as never, setHost: false, insecureHTTPParser: false, maxHeaderSize: 32 * 1024, agent: order.agent,
@@ -98,23 +146,27 @@
   const opened = openRequest(order);
   if (opened.isErr()) return settle(err(opened.error));
   const sent = opened.value;
+  let behindHead: BytesBehindHead | null = null;
   const finish = (outcome: Result<WholeAnswer, EndpointDefect>): void => {
     if (settled) return;
     settled = true;
     clearTimeout(timer);
+    behindHead?.stop();
     if (outcome.isErr() && ODD_KINDS.has(outcome.error.kind)) order.onOdd();
     settle(outcome);
     if (outcome.isErr() && outcome.error.kind !== 'endpoint-refusal') sent.destroy();
   };
   const timer = setTimeout(() => finish(err(sending ? new EndpointLate(`no whole answer within ${Math.round(order.leftMs)} ms`) : new NoConnection('no connection in time'))), Math.max(1, order.leftMs));
-  sent.once('socket', () => {
+  sent.once('socket', (socket) => {
     const fault = order.fault();
     if (fault !== null) return finish(err(new SeatLost(fault)));
     sending = true;
+    behindHead = new BytesBehindHead(socket);
     order.body.blocks.forEach((block) => sent.write(block));
     sent.end();
   });
   sent.on('error', (error) => finish(err(sending ? new BrokenAnswer('the exchange broke', error) : new NoConnection('the endpoint took no connection', error))));
+  sent.on('information', () => behindHead?.doubt());
   sent.on('upgrade', () => finish(err(new BrokenAnswer('the endpoint changed the protocol'))));
   sent.on('response', (answer) => {
     const { socket } = answer;
@@ -130,7 +182,11 @@
         if (collector.length + chunk.length > ANSWER_LIMIT) tooLong();
         else if (!collector.add(chunk)) finish(err(new AnswerTooLong('there is no room for the rest of the answer')));
       });
-      answer.on('end', () => (answer.complete ? finish(judged(order, answer, socket, collector.body())) : fail('the answer was cut off')));
+      answer.on('end', () => {
+        if (!answer.complete) fail('the answer was cut off');
+        else if (hasSurplus(order, answer, behindHead?.bytes ?? null)) fail('bytes follow the answer');
+        else finish(judged(order, answer, socket, collector.body()));
+      });
     };
     const named = order.method === 'HEAD' ? 0 : Number(answer.headers['content-length'] ?? 0);
     if (named > ANSWER_LIMIT) return tooLong();
