Report only the first fault of a long manifest, and a list that is too long at once

An operator's call with 20,000 empty routes, 60 KB long, made the checker note some faults for each, and one with half a million entries checked each of them before it said that there are too many. Every fault that is noted takes about as much memory as many routes, which the budget of a door can't foresee from the length of a text.

The test is red without either line.

--- a/src/version/manifest.ts
+++ b/src/version/manifest.ts
@@ -110,13 +110,18 @@
 export const probeShape = Joi.string().pattern(/^\/[!-~]*$/, 'path without blanks').max(256);
 const count = (least: number, most: number): Joi.NumberSchema => Joi.number().integer().min(least).max(most);
 
+const MOST_SERVICES = 10_000;
+const MOST_BINDINGS = 20_000;
+/** Of a manifest with more services and bindings than this only the first fault is reported. */
+const ALL_FAULTS_ENTRIES = 500;
+
 const manifestSchema = Joi.object({
-  services: Joi.array().max(10_000).required().items(Joi.object({
+  services: Joi.array().max(MOST_SERVICES).required().items(Joi.object({
     name: nameSchema.required(),
     probe: probeShape.allow(null).default(null),
     connections: count(1, 100_000).default(120),
   })),
-  bindings: Joi.array().max(20_000).required().items(Joi.object({
+  bindings: Joi.array().max(MOST_BINDINGS).required().items(Joi.object({
     id: nameSchema.required(),
     service: nameSchema,
     split: Joi.array().min(1).max(64).items(Joi.object({ service: nameSchema.required(), weight: Joi.number().min(0).max(1_000_000).required() })),
@@ -192,13 +197,31 @@
   return foundFaults;
 };
 
+const lengthOf = (candidate: unknown, field: 'services' | 'bindings'): number => {
+  const list = typeof candidate === 'object' && candidate !== null ? (candidate as Readonly<Record<string, unknown>>)[field] : null;
+  return Array.isArray(list) ? list.length : 0;
+};
+const entriesOf = (candidate: unknown): number => lengthOf(candidate, 'services') + lengthOf(candidate, 'bindings');
+
+/** A list that is longer than it may be: said before each of its entries is looked at. */
+const excessOf = (candidate: unknown): ManifestFault | null => {
+  if (lengthOf(candidate, 'services') > MOST_SERVICES) return { path: 'services', reason: `"services" must contain less than or equal to ${MOST_SERVICES} items` };
+  if (lengthOf(candidate, 'bindings') > MOST_BINDINGS) return { path: 'bindings', reason: `"bindings" must contain less than or equal to ${MOST_BINDINGS} items` };
+  return null;
+};
+
 const pathOf = (steps: readonly (string | number)[]): string =>
   steps.reduce<string>((path, step) => (typeof step === 'number' ? `${path}[${step}]` : path === '' ? step : `${path}.${step}`), '') || '(manifest)';
 
 export const Manifest = {
-  /** Checks what an operator sent, fills the defaults in and reports every fault that it finds. */
+  /**
+   * Checks what an operator sent, fills the defaults in and reports every fault that it finds; of a long manifest only
+   * the first, since each fault that is noted takes as much as many bindings.
+   */
   check: (candidate: unknown): Result<Manifest, InvalidManifest> => {
-    const checked = manifestSchema.validate(candidate, { abortEarly: false, convert: false });
+    const excess = excessOf(candidate);
+    if (excess !== null) return err(new InvalidManifest([excess]));
+    const checked = manifestSchema.validate(candidate, { abortEarly: entriesOf(candidate) > ALL_FAULTS_ENTRIES, convert: false });
     if (checked.error !== undefined) {
       return err(new InvalidManifest(checked.error.details.map((fault) => ({ path: pathOf(fault.path), reason: fault.message }))));
     }
--- a/test/manifest.test.ts
+++ b/test/manifest.test.ts
@@ -86,4 +86,11 @@
   }
 });
 
+test('of a long manifest the first fault alone is reported, and a list that is too long before its entries', () => {
+  const faultsOf = (count: number): readonly string[] => Manifest.check({ services: [], bindings: Array.from({ length: count }, () => ({})) })._unsafeUnwrapErr().faults.map(({ path }) => path);
+  assert.ok(faultsOf(100).length >= 200, 'each fault of a short one');
+  assert.is(faultsOf(20_000).length, 1);
+  assert.equal(faultsOf(20_001), ['bindings']);
+});
+
 run();
