--- a/src/connection/honoDoor.ts
+++ b/src/connection/honoDoor.ts
@@ -36,6 +36,6 @@
       (incoming as WithRawBody).rawBody = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
       await (await (door as NonNullable<typeof door>))(incoming, outgoing);
     };
-    void take();
+    void take().catch(() => outgoing.destroy());
   };
 };
