Keep a link's newest connections, and take want of room for no fault of an endpoint

Three things that the first form of the bounds did wrong, found by reading: of more than 16 links of one address the newest was refused, though a process uses the one that it made last and a machine that lost power leaves dead ones behind; now the eldest is ended. An endpoint whose answer found no room in time, or not for the rest of it, was noted as failing, so that a crowd could have had it masked for everybody; now that is no word on the endpoint, and the caller gets 502 (it may have run). Directories took messages of 17 MiB over links, though only ratebooks need them: 2 MiB.

--- a/src/connection/endpointExchange.ts
+++ b/src/connection/endpointExchange.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 import { err, ok, Result, ResultAsync } from 'neverthrow';
 import { Defect } from '../process/defect.js';
-import { HeaderText, type TurnAwayCause, type WholeAnswer } from './hopCalls.js';
+import { HeaderText, NO_ROOM_FOR_ANSWER, type TurnAwayCause, type WholeAnswer } from './hopCalls.js';
 import { SMALL_BYTES, type Holding } from '../process/memoryBudget.js';
 import { BodyCollector, type Body } from './body.js';
 import { EndpointLinks } from './endpointLinks.js';
@@ -24,6 +24,10 @@
 export class BrokenAnswer extends Defect {
   readonly kind = 'broken-answer';
 }
+/** The process holds too much to take the answer. */
+export class NoRoomForAnswer extends Defect {
+  readonly kind = NO_ROOM_FOR_ANSWER;
+}
 export class AnswerTooLong extends Defect {
   readonly kind = 'answer-too-long';
 }
@@ -45,7 +49,7 @@
     super(turnedAwayFor);
   }
 }
-export type EndpointDefect = SeatLost | EndpointRefusal | ForeignAnswer | NoConnection | EndpointLate | BrokenAnswer | AnswerTooLong;
+export type EndpointDefect = SeatLost | EndpointRefusal | ForeignAnswer | NoConnection | EndpointLate | BrokenAnswer | AnswerTooLong | NoRoomForAnswer;
 
 /** One order as an endpoint gets it. */
 export interface EndpointOrder {
@@ -83,7 +87,8 @@
  * `connection: close`; such an answer is not the endpoint's own, whole one.
  */
 class BytesBehindHead {
-  private head = '';
+  /** The end of what came before, which may hold the beginning of the head's end. */
+  private tail: Buffer | null = null;
   private count: number | null = null;
   /** After an interim answer the head that was found is not the last one. */
   private isSure = true;
@@ -110,10 +115,10 @@
       this.count += piece.length;
       return;
     }
-    const start = this.head.slice(1 - HEAD_END.length);
-    const found = (start + piece.toString('latin1')).indexOf(HEAD_END);
-    if (found === -1) this.head = (start + piece.toString('latin1')).slice(1 - HEAD_END.length);
-    else this.count = start.length + piece.length - found - HEAD_END.length;
+    const joined = this.tail === null ? piece : Buffer.concat([this.tail, piece]);
+    const found = joined.indexOf(HEAD_END);
+    if (found === -1) this.tail = joined.subarray(Math.max(0, joined.length - HEAD_END.length + 1));
+    else this.count = joined.length - found - HEAD_END.length;
   };
 }
 
@@ -143,6 +148,7 @@
 const exchange = (order: EndpointOrder): Promise<Result<WholeAnswer, EndpointDefect>> => new Promise((settle) => {
   let sending = false;
   let settled = false;
+  let isWaitingForRoom = false;
   const opened = openRequest(order);
   if (opened.isErr()) return settle(err(opened.error));
   const sent = opened.value;
@@ -156,7 +162,7 @@
     settle(outcome);
     if (outcome.isErr() && outcome.error.kind !== 'endpoint-refusal') sent.destroy();
   };
-  const timer = setTimeout(() => finish(err(sending ? new EndpointLate(`no whole answer within ${Math.round(order.leftMs)} ms`) : new NoConnection('no connection in time'))), Math.max(1, order.leftMs));
+  const timer = setTimeout(() => finish(err(isWaitingForRoom ? new NoRoomForAnswer('there was no room for the answer in time') : sending ? new EndpointLate(`no whole answer within ${Math.round(order.leftMs)} ms`) : new NoConnection('no connection in time'))), Math.max(1, order.leftMs));
   sent.once('socket', (socket) => {
     const fault = order.fault();
     if (fault !== null) return finish(err(new SeatLost(fault)));
@@ -180,7 +186,7 @@
       answer.on('data', (chunk: Buffer) => {
         if (settled) return;
         if (collector.length + chunk.length > ANSWER_LIMIT) tooLong();
-        else if (!collector.add(chunk)) finish(err(new AnswerTooLong('there is no room for the rest of the answer')));
+        else if (!collector.add(chunk)) finish(err(new NoRoomForAnswer('there is no room for the rest of the answer')));
       });
       answer.on('end', () => {
         if (!answer.complete) fail('the answer was cut off');
@@ -191,7 +197,12 @@
     const named = order.method === 'HEAD' ? 0 : Number(answer.headers['content-length'] ?? 0);
     if (named > ANSWER_LIMIT) return tooLong();
     if (named <= SMALL_BYTES) return read(false);
-    void order.holding.takeSoon(named).then((isGranted) => { if (isGranted && !settled) read(true); });
+    isWaitingForRoom = true;
+    void order.holding.takeSoon(named).then((isGranted) => {
+      if (!isGranted || settled) return;
+      isWaitingForRoom = false;
+      read(true);
+    });
   });
 });
 
--- a/src/connection/hopCalls.ts
+++ b/src/connection/hopCalls.ts
@@ -39,6 +39,9 @@
   | 'other-boot' | 'not-here' | 'stale-beat' | 'leaving' | 'other-instance' | 'other-service' | 'binding-not-allowed' | 'manifest-behind' | 'version-reverted'
   | 'full' | 'refused-by-endpoint' | 'stopping' | 'cutoff-too-near' | 'fenced';
 
+/** The defect of a host that holds too much to take an endpoint's answer: no word on the endpoint. */
+export const NO_ROOM_FOR_ANSWER = 'no-room-for-answer';
+
 export interface Load {
   readonly running: number;
   readonly waiting: number;
--- a/src/connection/wire.ts
+++ b/src/connection/wire.ts
@@ -126,7 +126,8 @@
 export class WireServer {
   private readonly handlers = new Map<string, Handler>();
   private readonly door: WebSocketServer;
-  private readonly links = new Map<string, number>();
+  /** The links from each address, the eldest first. */
+  private readonly links = new Map<string, Set<WebSocket>>();
   private running = 0;
   private isClosing = false;
   private ended: () => void = () => undefined;
@@ -151,11 +152,10 @@
     socket.on('error', () => socket.destroy());
     if (incoming.headers[CLUSTER_HEADER] !== this.cluster) return refuse('403 Forbidden', 'foreign cluster');
     if (format !== WIRE_FORMAT) return refuse('426 Upgrade Required', `format ${format} is not spoken here, ${WIRE_FORMAT} is`);
-    const linked = this.links.get(remote) ?? 0;
-    if (linked >= MOST_LINKS_AN_ADDRESS) return refuse('503 Service Unavailable', `${linked} links from ${remote} already`);
-    this.links.set(remote, linked + 1);
-    socket.once('close', () => this.unlink(remote));
-    this.door.handleUpgrade(incoming, socket, head, (link) => this.welcome(link, incoming.headers[PARTS_HEADER] !== undefined));
+    this.door.handleUpgrade(incoming, socket, head, (link) => {
+      this.keep(link, remote);
+      this.welcome(link, incoming.headers[PARTS_HEADER] !== undefined);
+    });
   }
 
   /** Looks at no further message, lets the running ones be answered and ends all links. */
@@ -171,10 +171,19 @@
     this.door.clients.forEach((link) => link.terminate());
   }
 
-  private unlink(remote: string): void {
-    const left = (this.links.get(remote) ?? 1) - 1;
-    if (left > 0) this.links.set(remote, left);
-    else this.links.delete(remote);
+  /** A process uses the link that it made last: of too many from one address the eldest is ended. */
+  private keep(link: WebSocket, remote: string): void {
+    const links = this.links.get(remote) ?? new Set();
+    this.links.set(remote, links.add(link));
+    link.once('close', () => {
+      links.delete(link);
+      if (links.size === 0 && this.links.get(remote) === links) this.links.delete(remote);
+    });
+    const [eldest] = links;
+    if (links.size <= MOST_LINKS_AN_ADDRESS || eldest === undefined) return;
+    this.watch.turnedAway('', `more than ${MOST_LINKS_AN_ADDRESS} links from ${remote}`);
+    links.delete(eldest);
+    eldest.terminate();
   }
 
   private welcome(socket: WebSocket, takesParts: boolean): void {
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -9,7 +9,7 @@
 import { HopPath, probeAnswerShape, type ProbeAnswer } from '../../connection/hopCalls.js';
 import { addOperatorCalls } from '../../connection/operators.js';
 import { StoreClient } from '../../connection/storeCalls.js';
-import { WireClient, type WireDefect } from '../../connection/wire.js';
+import { SHORT_WIRE_LIMIT, WireClient, type WireDefect } from '../../connection/wire.js';
 import type { Millis, Serial } from '../../process/brands.js';
 import type { Defect } from '../../process/defect.js';
 import { Desk, maskDutyKey } from '../../process/desk.js';
@@ -109,7 +109,7 @@
     log.error({ event: 'calendar-turned-away', defect: defect.describe() });
   });
   readWindows(settings.windows);
-  const server = wireServer(frame);
+  const server = wireServer(frame, SHORT_WIRE_LIMIT);
   server.on<NodePoll>(NodePath.poll, nodePollShape, (message) => desk.poll(message));
   server.on<NodeReport>(NodePath.report, nodeReportShape, (message) => desk.report(message));
   server.on<AliveMessage>(NodePath.alive, aliveShape, (message) => desk.alive(message));
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -1,6 +1,6 @@
 import { Histogram } from 'prom-client';
 import type { Body } from '../connection/body.js';
-import { HeaderText, HopMessages, HopPath, verdictShape, type HopOrder, type HopVerdict, type VerdictMessage, type VerdictAnswer, type WholeAnswer } from '../connection/hopCalls.js';
+import { HeaderText, HopMessages, HopPath, NO_ROOM_FOR_ANSWER, verdictShape, type HopOrder, type HopVerdict, type VerdictMessage, type VerdictAnswer, type WholeAnswer } from '../connection/hopCalls.js';
 import { Headers, type RawHeaders } from '../connection/headers.js';
 import type { WireClient, WireDefect } from '../connection/wire.js';
 import type { Allowance } from '../process/allowance.js';
@@ -258,7 +258,7 @@
     }
     if (event.kind !== 'verdict') return;
     const { verdict } = event;
-    if (verdict.kind === 'turnedAway') return note('turnedAway');
+    if (verdict.kind === 'turnedAway' || (verdict.kind === 'defect' && verdict.defect === NO_ROOM_FOR_ANSWER)) return note('turnedAway');
     const isFailure = verdict.kind === 'defect' || (verdict.answer.status >= 500 && verdict.answer.status !== 501);
     note(isFailure ? 'failed' : 'served');
     const hasReached = verdict.kind === 'answered' || verdict.mayHaveRun;
