Collect what long bodies leave behind, end bodies in crumbs beyond two, and let those who left wait for nothing

Now the runtime is told to collect after each 8 MiB that long bodies left behind, the budget is 30 % of the memory, at most two bodies in very many small pieces are read at once, and an exchange whose client has left waits for room no longer. Descriptors are bounded by what the system really grants.

--- a/src/connection/body.ts
+++ b/src/connection/body.ts
@@ -22,9 +22,16 @@
   }
 }
 
+/** Where the bytes of a body are taken from. */
+export interface BodyRoom {
+  take(bytes: number): boolean;
+  /** So many bytes were copied: as many are of no use any more. */
+  turnedOver(bytes: number): void;
+}
+
 /**
  * Gathers pieces of any size into blocks, so that what a body takes is its length, however small the pieces are that it
- * comes in. `take` is asked for the bytes of each block before there is one.
+ * comes in. Room is taken for each block before there is one.
  */
 export class BodyCollector {
   /** The only piece so far: most bodies come in one, which is then not copied. */
@@ -35,7 +42,7 @@
   private gathered = 0;
 
   /** `isGranted` says that room for the whole body was taken before. */
-  constructor(private readonly take: (bytes: number) => boolean, private readonly isGranted: boolean) {}
+  constructor(private readonly room: BodyRoom, private readonly isGranted: boolean) {}
 
   get length(): number {
     return this.gathered;
@@ -45,7 +52,7 @@
   add(piece: Uint8Array): boolean {
     if (piece.length === 0) return true;
     if (this.gathered === 0) {
-      if (!this.isGranted && !this.take(piece.length)) return false;
+      if (!this.isGranted && !this.room.take(piece.length)) return false;
       this.only = piece;
       this.gathered = piece.length;
       return true;
@@ -71,7 +78,8 @@
     while (from < piece.length) {
       if (this.block === null || this.used === this.block.length) {
         const size = Math.min(MOST_BLOCK_BYTES, Math.max(FIRST_BLOCK_BYTES, this.gathered));
-        if (!this.isGranted && !this.take(size)) return false;
+        if (!this.isGranted && !this.room.take(size)) return false;
+        this.room.turnedOver(size);
         if (this.block !== null) this.full.push(this.block);
         this.block = Buffer.allocUnsafeSlow(size);
         this.used = 0;
--- a/src/connection/bodyReader.ts
+++ b/src/connection/bodyReader.ts
@@ -17,11 +17,19 @@
 export class NoRoomForBody extends Defect {
   readonly kind = 'no-room-for-body';
 }
+/** The body comes in very many small pieces, and so do others. */
+export class BodyCrumbled extends Defect {
+  readonly kind = 'body-crumbled';
+}
 /** The body was not whole in time. */
 export class BodyTooSlow extends Defect {
   readonly kind = 'body-too-slow';
 }
-export type BodyDefect = BodyTooLong | BodyCutOff | NoRoomForBody | BodyTooSlow;
+export type BodyDefect = BodyTooLong | BodyCutOff | NoRoomForBody | BodyCrumbled | BodyTooSlow;
+
+/** A body of more pieces than this, whose pieces are smaller than this on average, is one in small pieces. */
+const MANY_PIECES = 4096;
+const SMALL_PIECE_BYTES = 64;
 
 export interface BodyTerms {
   /** The longest body, in bytes. */
@@ -57,13 +65,16 @@
   if (named !== null && named > limit) return fail(new BodyTooLong(`more than ${limit} bytes`));
   const isGranted = named !== null && named > SMALL_BYTES;
   if (isGranted && !holding.take(named)) return fail(new NoRoomForBody(`no room for ${named} bytes now`));
-  const collector = new BodyCollector((bytes) => holding.take(bytes), isGranted);
+  const collector = new BodyCollector(holding, isGranted);
   if (named !== 0) {
     holding.yieldAt(now() + STALL_MS, () => fail(new NoRoomForBody('others needed the room, and this body stood still')));
     exchange.reading(() => fail(new BodyTooSlow('the body was not whole in time')));
   }
+  let pieces = 0;
   incoming.on('data', (piece: Buffer) => {
     if (isOver) return;
+    pieces += 1;
+    if (pieces > MANY_PIECES && collector.length < pieces * SMALL_PIECE_BYTES && !holding.crumble()) return fail(new BodyCrumbled('too many bodies in small pieces at once'));
     if (collector.length + piece.length > limit) return fail(new BodyTooLong(`more than ${limit} bytes`));
     if (!collector.add(piece)) return fail(new NoRoomForBody('no room for the rest of the body now'));
     holding.progressed(now() + STALL_MS);
--- a/src/connection/connectionGuard.ts
+++ b/src/connection/connectionGuard.ts
@@ -97,6 +97,11 @@
     this.socket.end(body);
     this.guard.linger(this.socket);
   }
+
+  /** Reads nothing more: reading it would cost too much. */
+  stopReading(): void {
+    this.socket.destroy();
+  }
 }
 
 /**
--- a/src/connection/endpointExchange.ts
+++ b/src/connection/endpointExchange.ts
@@ -182,7 +182,7 @@
     answer.on('aborted', () => fail('the answer was cut off'));
     answer.on('error', (error) => finish(err(new BrokenAnswer('the answer broke', error))));
     const read = (isGranted: boolean): void => {
-      const collector = new BodyCollector((bytes) => order.holding.take(bytes), isGranted);
+      const collector = new BodyCollector(order.holding, isGranted);
       answer.on('data', (chunk: Buffer) => {
         if (settled) return;
         if (collector.length + chunk.length > ANSWER_LIMIT) tooLong();
@@ -199,9 +199,9 @@
     if (named <= SMALL_BYTES) return read(false);
     isWaitingForRoom = true;
     void order.holding.takeSoon(named).then((isGranted) => {
-      if (!isGranted || settled) return;
+      if (!isGranted) return finish(err(new NoRoomForAnswer('nobody waits for the answer any more')));
       isWaitingForRoom = false;
-      read(true);
+      if (!settled) read(true);
     });
   });
 });
--- a/src/connection/orderDoor.ts
+++ b/src/connection/orderDoor.ts
@@ -65,6 +65,7 @@
     const body = await readBody(incoming, { limit: Math.min(desk.memory.mostBytes, desk.limits().bodyBytes), holding, now: () => Clock.monotonic.now(), exchange });
     if (body.isErr()) {
       if (body.error.kind !== 'body-cut-off') refuseUnread(desk, exchange, BODY_REFUSALS[body.error.kind], body.error.kind, body.error.detail);
+      if (body.error.kind === 'body-crumbled') exchange.stopReading();
       return;
     }
     if (!(METHODS as readonly string[]).includes(method)) {
@@ -91,7 +92,10 @@
       underWay -= 1;
       holding.close();
     };
-    outgoing.once('close', partEnded);
+    outgoing.once('close', () => {
+      if (!outgoing.writableFinished) holding.abandon();
+      partEnded();
+    });
     void take(incoming, outgoing, exchange, holding).catch((error: unknown) => {
       desk.failed(error instanceof Error ? error : new Error(String(error)));
       if (!outgoing.headersSent) tell(desk, outgoing, { order: '', status: 502, outcome: 'unknown', reason: 'internal-defect', detail: 'opalstair failed while it carried this order', retryAfterMs: null }, true);
--- a/src/connection/serverLink.ts
+++ b/src/connection/serverLink.ts
@@ -38,7 +38,8 @@
 /** The serving side of one link: puts the parts of bodies together, hands whole calls on, sends answers. */
 export class ServerLink {
   private readonly transfers = new Map<number, Transfer>();
-  private readonly holdings = new Set<Holding>();
+  /** Calls that are being answered. */
+  private readonly running = new Map<number, Holding>();
 
   constructor(private readonly socket: WebSocket, private readonly memory: MemoryBudget, private readonly takesParts: boolean, private readonly onCall: (call: Call) => void, private readonly onFault: (reason: string) => void) {
     socket.on('close', () => this.ended());
@@ -61,11 +62,13 @@
 
   /** Says why a call was not looked at, or could not be read. */
   refuse(number: number, refused: string, holding: Holding | null = null): void {
-    this.socket.send(BSON.serialize({ number, refused }), () => { if (holding !== null) this.release(holding); });
+    this.running.delete(number);
+    this.socket.send(BSON.serialize({ number, refused }), () => holding?.close());
   }
 
   /** Answers a call and gives back what it held; the number of bytes that were sent. */
   answer({ number, holding }: Call, answer: object | WithBody): number {
+    this.running.delete(number);
     const isParted = answer instanceof WithBody && answer.body.length > INLINE_BYTES && this.takesParts;
     if (isParted) {
       void this.sendParted(number, answer, holding);
@@ -76,7 +79,7 @@
       this.onFault('no room for an answer');
       return 0;
     }
-    this.socket.send(bytes, () => this.release(holding));
+    this.socket.send(bytes, () => holding.close());
     return bytes.length;
   }
 
@@ -85,11 +88,11 @@
     this.transfers.set(number, transfer);
     const isWanted = new Promise<boolean>((settle) => { transfer.onGo = settle; });
     const isOffered = await sendFrame(this.socket, { number, offer: body.length });
-    if (isOffered && await isWanted && await sendParts(this.socket, number, body, () => !transfer.isDropped)) {
+    if (isOffered && await isWanted && await sendParts(this.socket, number, body, holding, () => !transfer.isDropped)) {
       await new Promise<void>((settle) => { this.socket.send(BSON.serialize({ number, answer, isParted: true }, { ignoreUndefined: true }), () => settle()); });
     }
     this.transfers.delete(number);
-    this.release(holding);
+    holding.close();
   }
 
   private takeCall(number: number, path: string, message: object, length: number): void {
@@ -97,15 +100,17 @@
     this.transfers.delete(number);
     const body = transfer?.incoming?.whole() ?? null;
     if (transfer !== undefined && body === null) return this.onFault('a body that is not whole');
-    const holding = transfer?.holding ?? this.open();
+    const holding = transfer?.holding ?? this.memory.open();
     holding.keep();
     if (!holding.take(length)) return this.refuse(number, NO_ROOM, holding);
+    this.running.set(number, holding);
     this.onCall({ number, path, message, body, holding });
   }
 
   private takeFrame({ number, offer, part, go, drop }: TransferFrame): void {
     const transfer = this.transfers.get(number);
     if (offer !== undefined) return this.admit(number, offer);
+    if (drop === true) this.running.get(number)?.abandon();
     if (transfer === undefined) return;
     if (go === true) transfer.onGo(true);
     else if (drop === true) this.drop(number, transfer);
@@ -128,12 +133,12 @@
   /** A body wants to come: its caller is told at once whether there is room. */
   private admit(number: number, length: number): void {
     if (this.transfers.has(number) || this.transfers.size >= MOST_TRANSFERS) return this.onFault('too many bodies');
-    const holding = this.open();
+    const holding = this.memory.open();
     if (!holding.take(length)) {
       this.memory.noteRefusal();
       return this.refuse(number, NO_ROOM, holding);
     }
-    const transfer: Transfer = { holding, incoming: new IncomingBody(length), onGo: () => undefined, isDropped: false };
+    const transfer: Transfer = { holding, incoming: new IncomingBody(holding, length), onGo: () => undefined, isDropped: false };
     this.transfers.set(number, transfer);
     this.mayYield(number, transfer);
     void sendFrame(this.socket, { number, go: true });
@@ -144,26 +149,11 @@
     transfer.onGo(false);
     if (transfer.incoming === null) return;
     this.transfers.delete(number);
-    this.release(transfer.holding);
-  }
-
-  private open(): Holding {
-    const holding = this.memory.open();
-    this.holdings.add(holding);
-    return holding;
-  }
-
-  private release(holding: Holding): void {
-    this.holdings.delete(holding);
-    holding.close();
+    transfer.holding.close();
   }
 
+  /** Bodies on their way are given up. Calls that run go on: their callers will ask what became of them. */
   private ended(): void {
-    this.transfers.forEach((transfer) => {
-      transfer.isDropped = true;
-      transfer.onGo(false);
-    });
-    this.transfers.clear();
-    [...this.holdings].forEach((holding) => this.release(holding));
+    this.transfers.forEach((transfer, number) => this.drop(number, transfer));
   }
 }
--- a/src/connection/transfer.ts
+++ b/src/connection/transfer.ts
@@ -21,9 +21,11 @@
 
 /** A body on its way in, of a length for which room has been made. */
 export class IncomingBody {
-  private readonly collector = new BodyCollector(() => false, true);
+  private readonly collector: BodyCollector;
 
-  constructor(private readonly length: number) {}
+  constructor(holding: Holding, private readonly length: number) {
+    this.collector = new BodyCollector(holding, true);
+  }
 
   /** Whether the part still belongs to what was offered. */
   add(part: Uint8Array): boolean {
@@ -36,7 +38,7 @@
   }
 
   static async admit(holding: Holding, length: number): Promise<IncomingBody | null> {
-    return await holding.takeSoon(length) ? new IncomingBody(length) : null;
+    return await holding.takeSoon(length) ? new IncomingBody(holding, length) : null;
   }
 }
 
@@ -49,10 +51,12 @@
 });
 
 /** Sends a body in parts, each when the one before has gone; resolves with whether all of it went. */
-export const sendParts = async (socket: WebSocket, number: number, body: Body, isWanted: () => boolean): Promise<boolean> => {
+export const sendParts = async (socket: WebSocket, number: number, body: Body, holding: Holding, isWanted: () => boolean): Promise<boolean> => {
   for (const block of body.blocks) {
     for (let from = 0; from < block.length; from += PART_BYTES) {
-      if (!isWanted() || !(await sendFrame(socket, { number, part: block.subarray(from, from + PART_BYTES) }))) return false;
+      const part = block.subarray(from, from + PART_BYTES);
+      if (!isWanted() || !(await sendFrame(socket, { number, part }))) return false;
+      holding.turnedOver(part.length);
     }
   }
   return true;
--- a/src/connection/wireLink.ts
+++ b/src/connection/wireLink.ts
@@ -4,6 +4,7 @@
 import { WebSocket } from 'ws';
 import type { Address } from '../process/brands.js';
 import { LostDefect, MessageDefect, NoRoomDefect, TurnedAwayDefect, UnreachableDefect } from '../process/defect.js';
+import type { Holding } from '../process/memoryBudget.js';
 import type { SentBytes } from '../process/sentBytes.js';
 import type { Body } from './body.js';
 import { NO_ROOM } from './serverLink.js';
@@ -98,6 +99,7 @@
       const timer = setTimeout(() => this.overdue(number), deadlineMs);
       const pending: Pending = { what, settle, timer, askedAt: this.usedAt, bytesBefore: this.bytesHeard, onLate, enclosure: enclosure ?? null, isSent: false, onGo: () => undefined, incoming: null };
       this.pending.set(number, pending);
+      enclosure?.holding.whenAbandoned(() => this.abandon(number));
       const bytes = BSON.serialize({ number, path, message } satisfies Envelope, { ignoreUndefined: true });
       this.sent?.add(path, bytes.length + (enclosure?.body?.length ?? 0));
       if (this.state === 'open') this.sendCall(number, pending, bytes);
@@ -128,18 +130,18 @@
   }
 
   private sendCall(number: number, pending: Pending, bytes: Uint8Array): void {
-    const body = pending.enclosure?.body ?? null;
-    if (body !== null) return void this.sendWithBody(number, pending, body, bytes);
+    const { enclosure } = pending;
+    if (enclosure !== null && enclosure.body !== null) return void this.sendWithBody(number, pending, enclosure.body, enclosure.holding, bytes);
     pending.isSent = true;
     this.socket.send(bytes, () => undefined);
   }
 
   /** Offers the body and sends it when there is room for it; the call follows the last part. */
-  private async sendWithBody(number: number, pending: Pending, body: Body, bytes: Uint8Array): Promise<void> {
+  private async sendWithBody(number: number, pending: Pending, body: Body, holding: Holding, bytes: Uint8Array): Promise<void> {
     if (!this.takesParts) return this.settle(number, err(new UnreachableDefect(`${pending.what}: it takes no bodies of this length`)));
     const isWanted = new Promise<boolean>((settle) => { pending.onGo = settle; });
     await sendFrame(this.socket, { number, offer: body.length });
-    if (!(await isWanted) || !(await sendParts(this.socket, number, body, () => this.pending.has(number))) || !this.pending.has(number)) return;
+    if (!(await isWanted) || !(await sendParts(this.socket, number, body, holding, () => this.pending.has(number))) || !this.pending.has(number)) return;
     pending.isSent = true;
     this.socket.send(bytes, () => undefined);
   }
@@ -181,6 +183,11 @@
     await sendFrame(this.socket, { number, go: true });
   }
 
+  /** Nobody waits for the answer any more; the call is not taken back, only what its answer would take. */
+  private abandon(number: number): void {
+    if (this.pending.has(number) && this.takesParts) this.drop(number);
+  }
+
   /** Tells the other side that nothing more of a call is wanted. */
   private drop(number: number): void {
     if (this.state === 'open') void sendFrame(this.socket, { number, drop: true });
--- a/src/process/memoryBudget.ts
+++ b/src/process/memoryBudget.ts
@@ -4,17 +4,23 @@
 
 const MIB = 1024 * 1024;
 /** The part of a process's memory that bodies and answers may take; the rest is for code, heap and copies on their way. */
-const BUDGET_SHARE = 0.35;
+const BUDGET_SHARE = 0.3;
 /** The part of the budget that is kept for exchanges that hold little. */
 const SMALL_SHARE = 0.125;
 /** An exchange that holds no more than this, in bytes, is a small one. */
 export const SMALL_BYTES = 64 * 1024;
+/**
+ * After long bodies have left so many bytes behind, memory that is of no use any more is collected:
+ * the runtime counts blocks as little, and would keep several times the budget.
+ */
+const COLLECT_AFTER_BYTES = 8 * MIB;
+/** What ordinary requests leave behind the runtime collects by itself. */
+const LEAST_COUNTED_BYTES = 32 * 1024;
+/** Bodies of very many small pieces that may be read at once: each piece costs processor time. */
+const MOST_CRUMBLED = 2;
 /** Whoever has made no progress for so long, in milliseconds, is let go first when memory runs short. */
 export const STALL_MS = 1000;
 
-/** Why bytes were not granted, or were taken back. */
-export type ShortageCause = 'refused' | 'let-go';
-
 interface Waiter {
   readonly holding: Holding;
   readonly bytes: number;
@@ -27,6 +33,9 @@
   private isClosed = false;
   private yieldFrom = Infinity;
   private yield: () => void = () => undefined;
+  private abandoned = false;
+  private isCrumbled = false;
+  private onAbandon: readonly (() => void)[] = [];
 
   constructor(private readonly budget: MemoryBudget) {}
 
@@ -48,7 +57,7 @@
 
   /** Takes more as soon as there is room; false when the exchange ends before that. */
   async takeSoon(bytes: number): Promise<boolean> {
-    if (this.isClosed) return false;
+    if (this.isClosed || this.abandoned) return false;
     return this.take(bytes) || this.budget.wait(this, bytes);
   }
 
@@ -74,10 +83,34 @@
     this.close();
   }
 
+  turnedOver(bytes: number): void {
+    this.budget.turnOver(bytes);
+  }
+
+  /** Nobody waits for what this exchange would bring: it no longer waits for room. What it holds it gives back when it ends. */
+  abandon(): void {
+    if (this.isClosed || this.abandoned) return;
+    this.abandoned = true;
+    this.budget.forget(this);
+    this.onAbandon.forEach((tell) => tell());
+  }
+
+  whenAbandoned(tell: () => void): void {
+    if (this.abandoned) tell();
+    else this.onAbandon = [...this.onAbandon, tell];
+  }
+
+  /** Whether the exchange may go on reading a body of very many small pieces. */
+  crumble(): boolean {
+    this.isCrumbled ||= this.budget.admitCrumbled();
+    return this.isCrumbled;
+  }
+
   /** Gives everything back; nothing more is granted. */
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    if (this.isCrumbled) this.budget.endCrumbled();
     const bytes = this.heldBytes;
     this.heldBytes = 0;
     this.budget.forget(this);
@@ -93,11 +126,13 @@
   private readonly holdings = new Set<Holding>();
   private waiters: Waiter[] = [];
   private usedBytes = 0;
+  private crumbled = 0;
+  private turnedOverBytes = 0;
   /** What is given back meanwhile is for whom room is made. */
   private isMakingRoom = false;
   private readonly shortages: Counter<'cause'> | null;
 
-  constructor(readonly totalBytes: number, private readonly clock: Clock, metrics: Registry | null = null) {
+  constructor(readonly totalBytes: number, private readonly clock: Clock, metrics: Registry | null = null, private readonly collect: () => void = () => undefined) {
     const used = (): number => this.usedBytes;
     this.shortages = metrics === null ? null : new Counter({ name: 'opalstair_memory_shortages_total', help: 'Exchanges that were refused or let go because bodies and answers had taken their part of the memory', labelNames: ['cause'], registers: [metrics] });
     if (metrics === null) return;
@@ -106,8 +141,8 @@
   }
 
   /** The budget of a process that may use so much memory, in MB. */
-  static ofProcess(memoryMb: number, clock: Clock, metrics: Registry | null = null): MemoryBudget {
-    return new MemoryBudget(Math.floor(memoryMb * MIB * BUDGET_SHARE), clock, metrics);
+  static ofProcess(memoryMb: number, clock: Clock, metrics: Registry, collect: () => void): MemoryBudget {
+    return new MemoryBudget(Math.floor(memoryMb * MIB * BUDGET_SHARE), clock, metrics, collect);
   }
 
   /** The most that one exchange can ever hold, in bytes. */
@@ -129,6 +164,16 @@
     return true;
   }
 
+  admitCrumbled(): boolean {
+    if (this.crumbled >= MOST_CRUMBLED) return false;
+    this.crumbled += 1;
+    return true;
+  }
+
+  endCrumbled(): void {
+    this.crumbled -= 1;
+  }
+
   /** Counts an exchange that was refused for want of room. */
   noteRefusal(): void {
     this.shortages?.inc({ cause: 'refused' });
@@ -141,6 +186,7 @@
   giveBack(holding: Holding, bytes: number): void {
     this.usedBytes -= bytes;
     this.holdings.delete(holding);
+    this.turnOver(bytes);
     if (this.waiters.length > 0 && !this.isMakingRoom) this.serveWaiters();
   }
 
@@ -162,6 +208,15 @@
     ended.forEach(({ settle }) => settle(false));
   }
 
+  /** So many bytes are of no use any more. */
+  turnOver(bytes: number): void {
+    if (bytes < LEAST_COUNTED_BYTES) return;
+    this.turnedOverBytes += bytes;
+    if (this.turnedOverBytes < COLLECT_AFTER_BYTES) return;
+    this.turnedOverBytes = 0;
+    this.collect();
+  }
+
   private makeRoom(forWhom: Holding, bytes: number): boolean {
     const now: Instant = this.clock.now();
     const yielding = [...this.holdings].filter((one) => one !== forWhom && one.mayYieldFrom <= now).sort((one, other) => one.mayYieldFrom - other.mayYieldFrom);
--- a/src/process/program.ts
+++ b/src/process/program.ts
@@ -6,6 +6,7 @@
 import { Counter, Gauge, Registry } from 'prom-client';
 import { brand, type BootId } from './brands.js';
 import { Clock } from './clock.js';
+import { memoryCollector } from './collector.js';
 import type { Defect } from './defect.js';
 import { MemoryBudget } from './memoryBudget.js';
 import { RELEASE } from './release.js';
@@ -104,7 +105,7 @@
   const ticker = new Ticker();
   const stalls = new StallGuard(Clock.monotonic, ticker);
   stalls.onStall((gap) => log.warn({ event: 'stall', gapMs: Math.round(gap) }, 'the process stood still'));
-  const memory = MemoryBudget.ofProcess(settings.value.memoryMb, Clock.monotonic, metrics);
+  const memory = MemoryBudget.ofProcess(settings.value.memoryMb, Clock.monotonic, metrics, memoryCollector());
   ticker.every(TICK_MS, () => memory.serveWaiters());
   const started = await program.start({ settings: settings.value, log, boot, clock: Clock.monotonic, stalls, ticker, metrics, sent: new SentBytes(metrics), memory });
   if (started.isErr()) return refuseToRun(program.name, started.error.describe(), 1);
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -116,13 +116,28 @@
   return portBase === undefined ? settings : { ...settings, seeds: settings.seeds.map((seed) => Address.of(Address.host(seed), portBase + RATEBOOK_STEP)) };
 };
 
+/** How many descriptors this process may really open; null where the system doesn't say. */
+const openFilesLimit = (): number | null => {
+  try {
+    const soft = /^Max open files\s+(\d+)/m.exec(readFileSync('/proc/self/limits', 'utf8'))?.[1];
+    return soft === undefined ? null : Number(soft);
+  } catch {
+    return null;
+  }
+};
+
+const withinSystem = <S extends PlaceSettings>(settings: S): S => {
+  const limit = openFilesLimit();
+  return limit === null || limit >= settings.descriptors ? settings : { ...settings, descriptors: limit };
+};
+
 /** Joins file and flags (flags win), checks them all and fills in the defaults. */
 export const readSettings = <S>(table: SettingTable, line: CommandLine): Result<S, SettingsDefect> =>
   readFile(line.settingsFile).andThen((fromFile) => {
     const checks = Object.fromEntries(Object.entries(table).map(([name, row]) => [name, row.check]));
     const given = Object.fromEntries(Object.entries({ ...fromFile, ...line.flags }).map(([name, value]) => [name, plain(name, value)]));
     const checked = Joi.object(checks).validate(given, { abortEarly: true, errors: { label: 'path' } });
-    return checked.error === undefined ? ok(withSeedPorts(checked.value as PlaceSettings) as S) : err(new SettingsDefect(checked.error.message));
+    return checked.error === undefined ? ok(withinSystem(withSeedPorts(checked.value as PlaceSettings)) as S) : err(new SettingsDefect(checked.error.message));
   });
 
 /** The text of `--help`. */
--- a/test/memoryBudget.test.ts
+++ b/test/memoryBudget.test.ts
@@ -104,9 +104,12 @@
     const chance = new Chance(seed);
     const most = 10 ** (1 + Math.floor(chance.next() * 5));
     let taken = 0;
-    const collector = new BodyCollector((bytes) => {
-      taken += bytes;
-      return true;
+    const collector = new BodyCollector({
+      take: (bytes) => {
+        taken += bytes;
+        return true;
+      },
+      turnedOver: () => undefined,
     }, false);
     const pieces = Array.from({ length: Math.floor(chance.next() * 200) }, () => Buffer.alloc(Math.floor(chance.next() * most), Math.floor(chance.next() * 256)));
     pieces.forEach((piece) => assert.ok(collector.add(piece)));
