Count an answer's bytes by one listener a connection, and pack short bodies without copies

Each request added and removed a listener of its socket, copied the order's fields twice and listened twice for the end of its answer.

Now a connection has one listener for its whole life, orders keep their message's form with long bodies beside them, and the guard alone listens for the end. Links from one address: 64 in place of 16, since a relay joins a whole mesh under one address (rejoinFleet: "more than 16 links from 127.0.0.1", red; green now).

faults, platformLinks, platformFaults, orders, transfer, memoryBudget, rejoinFleet, plainDoor, rehearsal: 80 passed, 0 failed; crowds: all pass.

--- a/src/connection/connectionGuard.ts
+++ b/src/connection/connectionGuard.ts
@@ -52,6 +52,7 @@
 /** One request and its answer on a guarded connection. */
 export class Exchange {
   private giveUp: (() => void) | null = null;
+  private onEnd: () => void = () => undefined;
   private endsBy: number;
 
   constructor(readonly outgoing: ServerResponse, private readonly guard: ConnectionGuard, private readonly socket: Socket, startedAt: number) {
@@ -73,6 +74,15 @@
     this.giveUp = null;
   }
 
+  /** Called once the answer has gone, or the connection has. */
+  whenEnded(tell: () => void): void {
+    this.onEnd = tell;
+  }
+
+  end(): void {
+    this.onEnd();
+  }
+
   get isReading(): boolean {
     return this.giveUp !== null;
   }
@@ -232,7 +242,10 @@
     connection.headSince = null;
     connection.current = exchange;
     this.resting.delete(connection);
-    outgoing.once('finish', () => this.finished(connection, exchange));
+    outgoing.once('close', () => {
+      this.finished(connection, exchange);
+      exchange.end();
+    });
     if (sizeOfHead(incoming) > this.limits().headerBytes) {
       this.ended('head-too-long');
       incoming.resume();
--- a/src/connection/endpointExchange.ts
+++ b/src/connection/endpointExchange.ts
@@ -5,6 +5,7 @@
 import { HeaderText, NO_ROOM_FOR_ANSWER, type TurnAwayCause, type WholeAnswer } from './hopCalls.js';
 import { SMALL_BYTES, type Holding } from '../process/memoryBudget.js';
 import { BodyCollector, type Body } from './body.js';
+import type { BytesBehindHead } from './bytesBehindHead.js';
 import { EndpointLinks } from './endpointLinks.js';
 import { Headers } from './headers.js';
 import type { AnswerFacts } from './speech.js';
@@ -80,48 +81,6 @@
 /** After these the connection, and the endpoint for a while, is not trusted with another request. */
 const ODD_KINDS: ReadonlySet<string> = new Set(['broken-answer', 'foreign-answer', 'answer-too-long']);
 
-const HEAD_END = '\r\n\r\n';
-
-/**
- * Counts the bytes that come behind the head of an answer. Node's client drops what follows an answer with
- * `connection: close`; such an answer is not the endpoint's own, whole one.
- */
-class BytesBehindHead {
-  /** The end of what came before, which may hold the beginning of the head's end. */
-  private tail: Buffer | null = null;
-  private count: number | null = null;
-  /** After an interim answer the head that was found is not the last one. */
-  private isSure = true;
-
-  constructor(private readonly socket: Socket) {
-    socket.on('data', this.add);
-  }
-
-  /** How many came; null when that can't be told. */
-  get bytes(): number | null {
-    return this.isSure ? this.count : null;
-  }
-
-  doubt(): void {
-    this.isSure = false;
-  }
-
-  stop(): void {
-    this.socket.removeListener('data', this.add);
-  }
-
-  private readonly add = (piece: Buffer): void => {
-    if (this.count !== null) {
-      this.count += piece.length;
-      return;
-    }
-    const joined = this.tail === null ? piece : Buffer.concat([this.tail, piece]);
-    const found = joined.indexOf(HEAD_END);
-    if (found === -1) this.tail = joined.subarray(Math.max(0, joined.length - HEAD_END.length + 1));
-    else this.count = joined.length - found - HEAD_END.length;
-  };
-}
-
 /** Says what a whole answer is worth: the endpoint's own, a refusal, or somebody else's. */
 const judged = (order: EndpointOrder, answer: IncomingMessage, socket: Socket, body: Body): Result<WholeAnswer, EndpointDefect> => {
   const status = answer.statusCode ?? 0;
@@ -152,12 +111,11 @@
   const opened = openRequest(order);
   if (opened.isErr()) return settle(err(opened.error));
   const sent = opened.value;
-  let behindHead: BytesBehindHead | null = null;
+  let behindHead: BytesBehindHead | undefined;
   const finish = (outcome: Result<WholeAnswer, EndpointDefect>): void => {
     if (settled) return;
     settled = true;
     clearTimeout(timer);
-    behindHead?.stop();
     if (outcome.isErr() && ODD_KINDS.has(outcome.error.kind)) order.onOdd();
     settle(outcome);
     if (outcome.isErr() && outcome.error.kind !== 'endpoint-refusal') sent.destroy();
@@ -167,7 +125,8 @@
     const fault = order.fault();
     if (fault !== null) return finish(err(new SeatLost(fault)));
     sending = true;
-    behindHead = new BytesBehindHead(socket);
+    behindHead = EndpointLinks.bytesOf(socket);
+    behindHead?.begin();
     order.body.blocks.forEach((block) => sent.write(block));
     sent.end();
   });
--- a/src/connection/endpointLinks.ts
+++ b/src/connection/endpointLinks.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { Address, type Instant, type Millis } from '../process/brands.js';
+import { BytesBehindHead } from './bytesBehindHead.js';
 import type { Clock } from '../process/clock.js';
 
 /** An endpoint that gave anything odd gets a fresh connection for each request for so long. */
@@ -11,6 +12,7 @@
 const MOST_IDLE = 64;
 
 const proven = new WeakSet<Duplex>();
+const counted = new WeakMap<Duplex, BytesBehindHead>();
 
 /** The connections to one instance of an endpoint. Only one that gave a whole answer, with the request's id, is used again. */
 class InstanceAgent extends Agent {
@@ -65,6 +67,7 @@
       socket.once('error', failed);
       socket.once('connect', () => {
         socket.removeListener('error', failed);
+        counted.set(socket, new BytesBehindHead(socket));
         take(null, socket);
       });
       return undefined;
@@ -73,6 +76,11 @@
     return agent;
   }
 
+  /** What counts the bytes of answers on this connection. */
+  static bytesOf(socket: Duplex): BytesBehindHead | undefined {
+    return counted.get(socket);
+  }
+
   /** The answer on this connection was whole and the request's own: another request may follow on it. */
   static prove(socket: Duplex | null): void {
     if (socket !== null) proven.add(socket);
--- a/src/connection/honoDoor.ts
+++ b/src/connection/honoDoor.ts
@@ -25,7 +25,7 @@
   return (incoming, outgoing, exchange) => {
     door ??= import('@hono/node-server').then(({ getRequestListener }) => getRequestListener(app.fetch as Parameters<typeof GetRequestListener>[0]));
     const holding = memory.open();
-    outgoing.once('close', () => holding.close());
+    exchange.whenEnded(() => holding.close());
     const take = async (): Promise<void> => {
       const body = await readBody(incoming, { limit, holding, now: () => Clock.monotonic.now(), exchange });
       if (body.isErr()) return refuseBody(body.error, memory, exchange);
--- a/src/connection/hopCalls.ts
+++ b/src/connection/hopCalls.ts
@@ -31,7 +31,8 @@
   readonly url: string;
   /** As `HeaderText` writes them. */
   readonly headers: string;
-  readonly body: Body;
+  /** Empty where the body is long and goes beside the order. */
+  readonly body: Uint8Array;
 }
 
 /** Why a host did not start an order. */
@@ -98,20 +99,17 @@
   read: (text: string): readonly string[] => (text === '' ? [] : text.split('\n')),
 } as const;
 
-type Packed<T extends { readonly body: Body }> = Omit<T, 'body'> & { readonly body: Uint8Array };
-/** An order as a message: its body is empty where that goes beside it, in parts. */
-export type HopOrderMessage = Packed<HopOrder>;
-type AnsweredMessage = Omit<Extract<HopVerdict, { kind: 'answered' }>, 'answer'> & { readonly answer: Packed<WholeAnswer> };
-/** A verdict as a message, likewise. */
+type AnsweredMessage = Omit<Extract<HopVerdict, { kind: 'answered' }>, 'answer'> & { readonly answer: Omit<WholeAnswer, 'body'> & { readonly body: Uint8Array } };
+/** A verdict as a message: its body is empty where that goes beside it, in parts. */
 export type VerdictMessage = Exclude<VerdictAnswer, { kind: 'answered' }> | AnsweredMessage;
 
 const NOTHING = new Uint8Array();
 
-/** How orders and verdicts are put into messages: short bodies within them, long ones beside them. */
+/** How bodies are put into messages: short ones within them, long ones beside them. */
 export const HopMessages = {
-  ofOrder: (order: HopOrder): { readonly message: HopOrderMessage; readonly body: Body | null } => (order.body.length > INLINE_BYTES
-    ? { message: { ...order, body: NOTHING }, body: order.body } : { message: { ...order, body: order.body.joined() }, body: null }),
-  readOrder: (message: HopOrderMessage, body: Body | null): HopOrder => ({ ...message, body: body ?? Body.of(message.body) }),
+  isLong: (body: Body): boolean => body.length > INLINE_BYTES,
+  inlineOf: (body: Body): Uint8Array => (HopMessages.isLong(body) ? NOTHING : body.joined()),
+  bodyOf: (order: HopOrder, beside: Body | null): Body => beside ?? Body.of(order.body),
   ofVerdict: (verdict: VerdictAnswer): VerdictMessage | WithBody => {
     if (verdict.kind !== 'answered') return verdict;
     const { body } = verdict.answer;
--- a/src/connection/orderDoor.ts
+++ b/src/connection/orderDoor.ts
@@ -92,7 +92,7 @@
       underWay -= 1;
       holding.close();
     };
-    outgoing.once('close', () => {
+    exchange.whenEnded(() => {
       if (!outgoing.writableFinished) holding.abandon();
       partEnded();
     });
--- a/src/connection/plainDoor.ts
+++ b/src/connection/plainDoor.ts
@@ -62,7 +62,7 @@
 export const plainDoor = (calls: readonly PlainCall[], bodyLimit: number, memory: MemoryBudget): Door => {
   const take = async (incoming: IncomingMessage, outgoing: ServerResponse, exchange: Exchange): Promise<void> => {
     const holding = memory.open();
-    outgoing.once('close', () => holding.close());
+    exchange.whenEnded(() => holding.close());
     const body = await readBody(incoming, { limit: bodyLimit, holding, now: () => Clock.monotonic.now(), exchange });
     if (body.isErr()) return refuseBody(body.error, memory, exchange);
     const found = calls.map((call) => ({ call, name: call.method === incoming.method ? nameIn(call.path, incoming.url ?? '') : null })).find(({ name }) => name !== null);
--- a/src/connection/wire.ts
+++ b/src/connection/wire.ts
@@ -22,8 +22,8 @@
 export const WIRE_LIMIT = 17 * 1024 * 1024;
 /** The same where only orders, questions and reports come. */
 export const SHORT_WIRE_LIMIT = 2 * 1024 * 1024;
-/** Links from one address at once: a few processes of a machine, each with a link that it gives up and a fresh one. */
-const MOST_LINKS_AN_ADDRESS = 16;
+/** Links from one address at once: processes of one machine, or of several behind a relay, and links that were given up. */
+const MOST_LINKS_AN_ADDRESS = 64;
 
 export type WireDefect = UnreachableDefect | LostDefect | MessageDefect | TurnedAwayDefect | NoRoomDefect;
 
--- a/src/programs/daemons/rehearsal.ts
+++ b/src/programs/daemons/rehearsal.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { Registry } from 'prom-client';
 import { EndpointLinks } from '../../connection/endpointLinks.js';
-import { HopMessages, HopPath, hopOrderShape, type HopOrderMessage } from '../../connection/hopCalls.js';
+import { HopMessages, HopPath, hopOrderShape, type HopOrder } from '../../connection/hopCalls.js';
 import { Listener } from '../../connection/listener.js';
 import { orderDoor } from '../../connection/orderDoor.js';
 import type { Speech } from '../../connection/speech.js';
@@ -90,7 +90,7 @@
     const versions = new VersionRouter(() => undefined, () => true);
     const hosting = new Hosting(hostFrame, endpoints, tables, links, speech, versions);
     const server = new WireServer(cluster, { turnedAway: () => undefined });
-    server.on<HopOrderMessage>(HopPath.order, hopOrderShape, async (message, { body, holding }) => HopMessages.ofVerdict(await hosting.run(HopMessages.readOrder(message, body), holding)));
+    server.on<HopOrder>(HopPath.order, hopOrderShape, async (order, { body, holding }) => HopMessages.ofVerdict(await hosting.run(order, HopMessages.bodyOf(order, body), holding)));
     const hostDoor = (await Listener.openWire(server, listenHost, 0))._unsafeUnwrap();
     rows.push({ id: ENDPOINT, service: SERVICE, instance: INSTANCE, address, zone, slots: SLOTS, leaving: false, node: 'rehearsal' as NodeName, nodeBoot: HOST_BOOT, hop: hostDoor.address });
     const wire = new WireClient(cluster, listenHost);
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -5,7 +5,7 @@
 import { adminApp, doorTerms, linkTerms, wireServer } from '../../connection/admin.js';
 import { beatApp, type BeatDesk } from '../../connection/beatDoor.js';
 import { EndpointLinks } from '../../connection/endpointLinks.js';
-import { HopPath, hopOrderShape, probeAnswerShape, probeAskShape, verdictAskShape, HopMessages, type HopOrderMessage, type ProbeAnswer, type ProbeAsk, type VerdictAsk } from '../../connection/hopCalls.js';
+import { HopPath, hopOrderShape, probeAnswerShape, probeAskShape, verdictAskShape, HopMessages, type HopOrder, type ProbeAnswer, type ProbeAsk, type VerdictAsk } from '../../connection/hopCalls.js';
 import type { Door } from '../../connection/connectionGuard.js';
 import { honoDoor } from '../../connection/honoDoor.js';
 import { Listener, type DoorTerms } from '../../connection/listener.js';
@@ -151,7 +151,7 @@
     log.info({ event: 'rehearsed', orders: whole });
   };
   const server = wireServer(frame, SHORT_WIRE_LIMIT);
-  server.on<HopOrderMessage>(HopPath.order, hopOrderShape, async (message, { body, holding }) => HopMessages.ofVerdict(await hosting.run(HopMessages.readOrder(message, body), holding)));
+  server.on<HopOrder>(HopPath.order, hopOrderShape, async (order, { body, holding }) => HopMessages.ofVerdict(await hosting.run(order, HopMessages.bodyOf(order, body), holding)));
   server.on<VerdictAsk>(HopPath.verdict, verdictAskShape, async (message) => HopMessages.ofVerdict(await hosting.verdictOf(message)));
   server.on<ProbeAsk>(HopPath.probe, probeAskShape, (message) => hosting.probe(message));
   server.on<SnapshotAsk>(NodePath.snapshot, snapshotAskShape, (message) => delivery.snapshot(message));
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -198,12 +198,12 @@
     trip.onward ??= HeaderText.of(this.parts.speech.onward(Headers.ofOrder(headers, method, body.length), this.parts.callingService));
     const hopOrder: HopOrder = {
       order: trip.order, caller: this.frame.settings.node, callerBoot: this.frame.boot, hop: trip.hop, hostBoot: row.nodeBoot, service: row.service, endpoint: row.id,
-      instance: row.instance, binding: trip.binding.id, serial: trip.inForce.serial, request: trip.request, leftMs: this.left(trip), heldMs: this.held(trip), sentAt: this.frame.clock.now(), method, url, headers: trip.onward, body,
+      instance: row.instance, binding: trip.binding.id, serial: trip.inForce.serial, request: trip.request, leftMs: this.left(trip), heldMs: this.held(trip), sentAt: this.frame.clock.now(), method, url, headers: trip.onward, body: HopMessages.inlineOf(body),
     };
     this.parts.picker.started(row);
     this.parts.versions.started(row);
     const event = row.nodeBoot === this.frame.boot
-      ? { kind: 'verdict' as const, verdict: await this.parts.hosting.run(hopOrder, trip.given.holding) } : await this.send(hopOrder, row, trip.given.holding);
+      ? { kind: 'verdict' as const, verdict: await this.parts.hosting.run(hopOrder, body, trip.given.holding) } : await this.send(hopOrder, row, trip.given);
     this.parts.picker.ended(row, event.kind === 'verdict' ? event.verdict.load : null);
     this.parts.versions.ended(row);
     this.count(trip, row, event);
@@ -211,10 +211,9 @@
     return event;
   }
 
-  private async send(hopOrder: HopOrder, row: EndpointRow, holding: Holding): Promise<OrderEvent> {
-    const { message, body } = HopMessages.ofOrder(hopOrder);
+  private async send(hopOrder: HopOrder, row: EndpointRow, { body, holding }: CallerOrder): Promise<OrderEvent> {
     const answer: Result<{ readonly answer: VerdictMessage; readonly body: Body | null }, WireDefect> =
-      await this.parts.wire.exchange<VerdictMessage>(row.hop, HopPath.order, message, hopOrder.leftMs + HOP_GRACE_MS, verdictShape, { body, holding });
+      await this.parts.wire.exchange<VerdictMessage>(row.hop, HopPath.order, hopOrder, hopOrder.leftMs + HOP_GRACE_MS, verdictShape, { body: HopMessages.isLong(body) ? body : null, holding });
     return answer.match<OrderEvent>((found) => ({ kind: 'verdict', verdict: HopMessages.readVerdict(found.answer, found.body) as HopVerdict }), (defect) => {
       const isUnsent = defect.kind === 'unreachable' || defect.kind === 'no-room' || (defect.kind === 'turned-away' && defect.isUnread);
       return isUnsent ? { kind: 'hostUnreachable', detail: defect.describe(), isFull: defect.kind === 'no-room' } : { kind: 'hopLost', detail: defect.describe() };
--- a/src/request/hosting.ts
+++ b/src/request/hosting.ts
@@ -58,7 +58,7 @@
   }
 
   /** Runs an order once at most; a hop that came before gets the verdict of its first run. */
-  async run(order: HopOrder, holding: Holding): Promise<HopVerdict> {
+  async run(order: HopOrder, body: Body, holding: Holding): Promise<HopVerdict> {
     this.frame.stalls.check();
     const now = this.frame.clock.now();
     const arrival = (now - this.transit.delayOf(order.callerBoot, order.sentAt, now)) as Instant;
@@ -71,7 +71,7 @@
         return { kind: 'defect', defect: 'forgotten', detail: 'this hop may have run before', mayHaveRun: true, load: this.endpoints.load(order.endpoint) };
       case 'fresh': {
         this.runningOrders += 1;
-        const verdict = await this.attempt(order, arrival, holding);
+        const verdict = await this.attempt(order, body, arrival, holding);
         this.runningOrders -= 1;
         opening.settle(verdict);
         return verdict;
@@ -131,7 +131,7 @@
     this.isStopping = true;
   }
 
-  private async attempt(order: HopOrder, arrival: Instant, holding: Holding): Promise<HopVerdict> {
+  private async attempt(order: HopOrder, body: Body, arrival: Instant, holding: Holding): Promise<HopVerdict> {
     const deadline = arrival + order.leftMs;
     const left = (): number => deadline - this.frame.clock.now();
     if (this.isStopping) return this.turnAway(order, 'stopping');
@@ -149,7 +149,7 @@
     const start = this.frame.clock.now();
     const answer = await exchangeWithEndpoint({
       agent: this.links.agentOf(address, order.instance), method: order.method, url: order.url,
-      headers: [...HeaderText.read(order.headers), ...this.speech.toEndpoint({ order: order.order as OrderId, instance: order.instance, leftMs: left() })], body: order.body, holding, leftMs: left(),
+      headers: [...HeaderText.read(order.headers), ...this.speech.toEndpoint({ order: order.order as OrderId, instance: order.instance, leftMs: left() })], body, holding, leftMs: left(),
       fault: () => faultNow() ?? seat.value.recheck(), read: (status, headers) => this.speech.ofAnswer(status, headers, order.request), onOdd: () => this.links.noteOdd(`${address}/${order.instance}`),
     });
     const tookMs = this.frame.clock.now() - start;
