Collect after each 2 MiB that long bodies leave behind

With 50 clients that read answers of 4 MiB slowly a switchboard took 302 MiB (a machine has 250): 64 MiB were held, and what was copied on the way of other answers lay uncollected in between. Ruled out: the sizes of blocks (64 KiB in place of 256 KiB: 260 MiB in the trial with the same interval).

The test of it is new, red before (302 MiB), with two crowds that come again; all pass.

--- a/src/process/memoryBudget.ts
+++ b/src/process/memoryBudget.ts
@@ -13,7 +13,7 @@
  * After long bodies have left so many bytes behind, memory that is of no use any more is collected:
  * the runtime counts blocks as little, and would keep several times the budget.
  */
-const COLLECT_AFTER_BYTES = 8 * MIB;
+const COLLECT_AFTER_BYTES = 2 * MIB;
 /** What ordinary requests leave behind the runtime collects by itself. */
 const LEAST_COUNTED_BYTES = 32 * 1024;
 /** Bodies of very many small pieces that may be read at once: each piece costs processor time. */
--- a/test/crowd.ts
+++ b/test/crowd.ts
@@ -63,6 +63,14 @@
     return until('an answer, or the end', () => (this.status > 0 ? { status: this.status } : this.isClosed ? { status: 0 } : null)).then(({ status }) => status);
   }
 
+  /** Reads for a moment, and then nothing for so long, in milliseconds. */
+  async sip(restMs: number): Promise<void> {
+    this.socket.resume();
+    await new Promise((settle) => { setTimeout(settle, 2); });
+    this.socket.pause();
+    await new Promise((settle) => { setTimeout(settle, restMs); });
+  }
+
   whenClosed(): Promise<void> {
     return this.closed;
   }
--- a/test/crowds.test.ts
+++ b/test/crowds.test.ts
@@ -4,7 +4,7 @@
 import type { Daemon } from '../src/fleet/daemon.js';
 import { until } from '../src/fleet/fleet.js';
 import { MACHINE_LIMITS, PLATFORM_PORTS, PlatformFleet } from '../src/fleet/platformFleet.js';
-import { chunks, Crowd, headOf, LAST_CHUNK, openDescriptors, peakMiB, plainBody, writeAll, type CrowdDoor } from './crowd.js';
+import { chunks, Crowd, CrowdClient, headOf, LAST_CHUNK, openDescriptors, peakMiB, plainBody, writeAll, type CrowdDoor } from './crowd.js';
 import { suite } from './harness.js';
 import { configurationOf, routeOf, type PlatformConfiguration, type PlatformTold } from './platformParts.js';
 
@@ -123,6 +123,45 @@
   }
 });
 
+/** Clients that leave and come again, each so many times. */
+const comeAgain = async (count: number, rounds: number, visit: (client: CrowdClient, index: number) => Promise<void>, isReading: boolean): Promise<void> => {
+  await Promise.all(Array.from({ length: count }, async (_, index) => {
+    for (let round = 0; round < rounds; round += 1) {
+      const client = await CrowdClient.open(callers(), isReading);
+      await visit(client, index);
+      client.leave();
+    }
+  }));
+  await bears();
+};
+
+test('long bodies that stop short and come again', async () => {
+  await freshSides();
+  await comeAgain(30, 5, (client) => writeAll(client, [headOf('POST', '/line/x') + CHUNKED, ...chunks(15, MIB)]), true);
+});
+
+test('long answers that nobody reads, and that are asked for again', async () => {
+  await freshSides();
+  await comeAgain(40, 5, async (client, index) => {
+    await client.write(`${headOf('GET', `/${index % 2 === 0 ? 'line' : 'port'}/x?padding=${4 * MIB}`)}\r\n`);
+    await new Promise((settle) => { setTimeout(settle, 300); });
+  }, false);
+});
+
+test('long answers that are read slowly', async () => {
+  await freshSides();
+  const gathered = await Crowd.gather(callers(), 50, async (client, index) => {
+    await client.write(`${headOf('GET', `/${index % 2 === 0 ? 'line' : 'port'}/x?padding=${4 * MIB}`)}\r\n`);
+    for (let sip = 0; sip < 20; sip += 1) await client.sip(100);
+  }, false);
+  try {
+    await gathered.done();
+    await bears();
+  } finally {
+    gathered.leave();
+  }
+});
+
 test('requests one after the other on each connection, whose answers nobody reads', async () => {
   await freshSides();
   const requests = Buffer.from(`${headOf('GET', '/line/x?padding=2000')}\r\n`.repeat(300));
