--- a/src/connection/bodyReader.ts
+++ b/src/connection/bodyReader.ts
@@ -18,14 +18,14 @@
   readonly kind = 'no-room-for-body';
 }
 /** The body comes in very many small pieces, and so do others. */
-export class BodyCrumbled extends Defect {
-  readonly kind = 'body-crumbled';
+export class BodyInSmallPieces extends Defect {
+  readonly kind = 'body-in-small-pieces';
 }
 /** The body was not whole in time. */
 export class BodyTooSlow extends Defect {
   readonly kind = 'body-too-slow';
 }
-export type BodyDefect = BodyTooLong | BodyCutOff | NoRoomForBody | BodyCrumbled | BodyTooSlow;
+export type BodyDefect = BodyTooLong | BodyCutOff | NoRoomForBody | BodyInSmallPieces | BodyTooSlow;
 
 /** A body of more pieces than this, whose pieces are smaller than this on average, is one in small pieces. */
 const MANY_PIECES = 4096;
@@ -74,7 +74,7 @@
   incoming.on('data', (piece: Buffer) => {
     if (isOver) return;
     pieces += 1;
-    if (pieces > MANY_PIECES && collector.length < pieces * SMALL_PIECE_BYTES && !holding.crumble()) return fail(new BodyCrumbled('too many bodies in small pieces at once'));
+    if (pieces > MANY_PIECES && collector.length < pieces * SMALL_PIECE_BYTES && !holding.readSmallPieces()) return fail(new BodyInSmallPieces('too many bodies in small pieces at once'));
     if (collector.length + piece.length > limit) return fail(new BodyTooLong(`more than ${limit} bytes`));
     if (!collector.add(piece)) return fail(new NoRoomForBody('no room for the rest of the body now'));
     holding.progressed(now() + STALL_MS);
--- a/src/connection/orderDoor.ts
+++ b/src/connection/orderDoor.ts
@@ -65,7 +65,7 @@
     const body = await readBody(incoming, { limit: Math.min(desk.memory.mostBytes, desk.limits().bodyBytes), holding, now: () => Clock.monotonic.now(), exchange });
     if (body.isErr()) {
       if (body.error.kind !== 'body-cut-off') refuseUnread(desk, exchange, BODY_REFUSALS[body.error.kind], body.error.kind, body.error.detail);
-      if (body.error.kind === 'body-crumbled') exchange.stopReading();
+      if (body.error.kind === 'body-in-small-pieces') exchange.stopReading();
       return;
     }
     if (!(METHODS as readonly string[]).includes(method)) {
--- a/src/connection/plainDoor.ts
+++ b/src/connection/plainDoor.ts
@@ -44,7 +44,7 @@
 };
 
 /** What a caller is told whose body could not be read: it has not run, and may come back where that helps. */
-export const BODY_REFUSALS = { 'body-too-long': 413, 'body-too-slow': 408, 'no-room-for-body': 503, 'body-crumbled': 503 } as const;
+export const BODY_REFUSALS = { 'body-too-long': 413, 'body-too-slow': 408, 'no-room-for-body': 503, 'body-in-small-pieces': 503 } as const;
 /** When it is worth coming back to a process that has no room, in seconds. */
 const ROOM_RETRY_S = 1;
 
@@ -55,7 +55,7 @@
   const status = BODY_REFUSALS[kind];
   if (status === 503) memory.noteRefusal();
   exchange.answerUnread(status, status === 503 ? ['Retry-After', String(ROOM_RETRY_S)] : [], new Uint8Array());
-  if (kind === 'body-crumbled') exchange.stopReading();
+  if (kind === 'body-in-small-pieces') exchange.stopReading();
 };
 
 /** A door for a few calls that come often: nothing but Node's own server between it and the caller. Bodies are bounded, in bytes. */
--- a/src/process/memoryBudget.ts
+++ b/src/process/memoryBudget.ts
@@ -17,7 +17,7 @@
 /** What ordinary requests leave behind the runtime collects by itself. */
 const LEAST_COUNTED_BYTES = 32 * 1024;
 /** Bodies of very many small pieces that may be read at once: each piece costs processor time. */
-const MOST_CRUMBLED = 2;
+const MOST_IN_SMALL_PIECES = 2;
 /** Whoever has made no progress for so long, in milliseconds, is let go first when memory runs short. */
 export const STALL_MS = 1000;
 
@@ -34,7 +34,7 @@
   private yieldFrom = Infinity;
   private yield: () => void = () => undefined;
   private abandoned = false;
-  private isCrumbled = false;
+  private isInSmallPieces = false;
   private onAbandon: readonly (() => void)[] = [];
 
   constructor(private readonly budget: MemoryBudget) {}
@@ -101,16 +101,16 @@
   }
 
   /** Whether the exchange may go on reading a body of very many small pieces. */
-  crumble(): boolean {
-    this.isCrumbled ||= this.budget.admitCrumbled();
-    return this.isCrumbled;
+  readSmallPieces(): boolean {
+    this.isInSmallPieces ||= this.budget.admitSmallPieces();
+    return this.isInSmallPieces;
   }
 
   /** Gives everything back; nothing more is granted. */
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
-    if (this.isCrumbled) this.budget.endCrumbled();
+    if (this.isInSmallPieces) this.budget.endSmallPieces();
     const bytes = this.heldBytes;
     this.heldBytes = 0;
     this.budget.forget(this);
@@ -126,7 +126,7 @@
   private readonly holdings = new Set<Holding>();
   private waiters: Waiter[] = [];
   private usedBytes = 0;
-  private crumbled = 0;
+  private inSmallPieces = 0;
   private turnedOverBytes = 0;
   /** What is given back meanwhile is for whom room is made. */
   private isMakingRoom = false;
@@ -164,14 +164,14 @@
     return true;
   }
 
-  admitCrumbled(): boolean {
-    if (this.crumbled >= MOST_CRUMBLED) return false;
-    this.crumbled += 1;
+  admitSmallPieces(): boolean {
+    if (this.inSmallPieces >= MOST_IN_SMALL_PIECES) return false;
+    this.inSmallPieces += 1;
     return true;
   }
 
-  endCrumbled(): void {
-    this.crumbled -= 1;
+  endSmallPieces(): void {
+    this.inSmallPieces -= 1;
   }
 
   /** Counts an exchange that was refused for want of room. */
