--- a/review/common-2/mesh.mjs
+++ b/review/common-2/mesh.mjs
@@ -233,10 +233,18 @@
 
   beat(state = this.state) {
     this.sequence += 1;
-    const body = JSON.stringify({
+    return this.send(this.beatText(this.sequence, state));
+  }
+
+  beatText(sequence, state) {
+    return JSON.stringify({
       address: `${this.machine.host}:${this.mesh.ports.application}`, information: { service: this.machine.service, version: 'v1', zone: this.machine.zone, capacity_slots: 9 },
-      status: { state, call_sequence: this.sequence, cold_remaining: '0ms' },
+      status: { state, call_sequence: sequence, cold_remaining: '0ms' },
     });
+  }
+
+  /** Sends a heartbeat. */
+  send(body) {
     return this.mesh.call(this.machine.host, this.mesh.ports.control, 'POST', `/-/instances/${this.id}/heartbeat`, { 'content-type': 'application/json' }, body, 1000);
   }
 
