A disk that was dropped while its machine was silent can be given its vote again

A core machine had frozen for 3.5 s while the successor of another stood ready.

Cause: whether a disk may be given a vote was judged by its own copy of the roster. A disk that is dropped while silent still holds the roster that names it, so it was neither voter nor spare, and the vote of the machine that was then removed had nobody to go to. Now the newest roster that it knows decides (isWithoutVote), and promises and entries stay.

The simulated register uses the real RosterKeeper, drops silent disks, replaces machines, and asks for a whole roster at the end.

Open: a disk lost between the two writes of a swap for a machine that is only silent (postmortem).

--- a/src/fleet/simBook.ts
+++ b/src/fleet/simBook.ts
@@ -1,15 +1,19 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Address, DiskId, Instant, KeyName, Serial } from '../process/brands.js';
+import type { CopyAnswer } from '../connection/storeCalls.js';
 import { CatchUp } from '../process/catchUp.js';
 import { CommitEvidence, type AcceptedSerials } from '../process/commitEvidence.js';
 import type { Defect } from '../process/defect.js';
 import { KeyOwner } from '../process/keyOwner.js';
-import { isFenced, NoVote, OldRoster, voteDefect, type VoterLink } from '../process/quorum.js';
+import { isFenced, isWithoutVote, NoVote, OldRoster, voteDefect, type VoterLink } from '../process/quorum.js';
 import { Register, type Grant, type RegisterAsk, type RegisterReply, type RegisterState } from '../process/register.js';
+import { RosterKeeper } from '../process/rosterKeeper.js';
 import { copyFromMajority, mergedState, type Copies } from '../process/spareCopy.js';
 import { MANIFEST_KEY, ROSTER_KEY, Roster, type Entry, type RosterMember, type Voters } from '../version/entry.js';
 
 export const LEASE_MS = 2000;
+/** A disk that was silent for so long counts as lost, in milliseconds. */
+const REPLACE_AFTER_MS = 400;
 const KEYS = [ROSTER_KEY, MANIFEST_KEY] as const;
 
 /** What a simulated ratebook needs of the simulation around it. */
@@ -21,6 +25,8 @@
   spread(from: SimBook, key: KeyName, entry: Entry): Promise<boolean>;
   /** A book found out by itself that an entry is committed. */
   found(book: SimBook, key: KeyName, entry: Entry): void;
+  /** How many disks vote. */
+  readonly size: number;
 }
 
 /** A ratebook of the simulation: its disk survives a restart, its grants and owners do not. */
@@ -32,6 +38,7 @@
   private owners: ReadonlyMap<KeyName, KeyOwner>;
   catchUp: CatchUp;
   evidence: CommitEvidence;
+  rosterKeeper: RosterKeeper;
   boot = 1;
   isDown = false;
 
@@ -40,6 +47,7 @@
     this.owners = this.makeOwners();
     this.catchUp = this.makeCatchUp();
     this.evidence = this.makeEvidence();
+    this.rosterKeeper = this.makeRosterKeeper();
   }
 
   voters(): Voters | null {
@@ -71,6 +79,7 @@
     this.owners = this.makeOwners();
     this.catchUp = this.makeCatchUp();
     this.evidence = this.makeEvidence();
+    this.rosterKeeper = this.makeRosterKeeper();
   }
 
   ask(voter: RosterMember, key: KeyName, rosterSerial: number, ask: RegisterAsk): Promise<Result<RegisterReply, Defect>> {
@@ -89,12 +98,12 @@
   }
 
   isSpare(): boolean {
-    const roster = this.disk.get(ROSTER_KEY)?.accepted?.value as Roster | undefined;
-    return roster === undefined || !roster.members.some((member) => member.id === this.member.id);
+    return isWithoutVote(this.member.id, this.voters());
   }
 
   /** Takes over what a majority of the voters holds, as a spare disk does before it votes. */
   async copyFrom(members: readonly RosterMember[]): Promise<boolean> {
+    if (!this.isSpare()) return false;
     const copied = await copyFromMajority(members, (member) => this.sim.post(this, member.address, (target) => target.dump(member.id)));
     if (copied.isErr()) return false;
     this.graceUntil = (this.sim.now() + LEASE_MS) as Instant;
@@ -121,6 +130,19 @@
     }
   }
 
+  private makeRosterKeeper(): RosterKeeper {
+    return new RosterKeeper(this.owner(ROSTER_KEY), () => this.voters(), (spare, members) => this.haveCopied(spare, members), { now: () => this.sim.now() }, this.sim.size, REPLACE_AFTER_MS);
+  }
+
+  /** Has a spare disk copy all keys; a book that was restarted meanwhile never hears of it. */
+  private async haveCopied(spare: RosterMember, members: readonly RosterMember[]): Promise<Result<CopyAnswer, Defect>> {
+    const { boot } = this;
+    const reached = await this.sim.post(this, spare.address, (target) => (target.member.id === spare.id ? ok(target) : err(new NoVote('another disk'))));
+    if (reached.isErr()) return err(reached.error);
+    const copied = await reached.value.copyFrom(members);
+    return this.boot === boot ? ok({ copied, detail: '' }) : new Promise(() => undefined);
+  }
+
   private makeEvidence(): CommitEvidence {
     return new CommitEvidence(KEYS, (key) => this.committed.get(key)?.serial ?? (0 as Serial));
   }
--- a/src/fleet/storeSim.ts
+++ b/src/fleet/storeSim.ts
@@ -2,7 +2,7 @@
 import type { Address, ChangeId, DiskId, Epoch, Instant, KeyName, Serial } from '../process/brands.js';
 import { LostDefect, type Defect } from '../process/defect.js';
 import type { ChangeDefect } from '../process/keyOwner.js';
-import { nextRosterStep, type Present } from '../process/rosterKeeper.js';
+import type { Present } from '../process/rosterKeeper.js';
 import { MANIFEST_KEY, ROSTER_KEY, type Entry, type Roster, type RosterMember } from '../version/entry.js';
 import type { Chance } from './chance.js';
 import { LEASE_MS, SimBook, type SimWorld } from './simBook.js';
@@ -17,6 +17,10 @@
 const OVERLAPPING = 0.7;
 /** How likely an empty disk is at the address of the lost one, and not at a new machine's. */
 const SAME_ADDRESS = 0.7;
+/** A change of the roster that takes longer than this was lost with its owner, in milliseconds. */
+const ROSTER_STEP_MS = 10_000;
+/** How many calm steps the roster may take until all its disks are there again. */
+const ROSTER_STEPS = 6000;
 
 interface Letter {
   readonly run: () => void;
@@ -31,11 +35,12 @@
   readonly serial: number;
 }
 
-/** What a run may do: how many disks vote, how many are lost in all, and how often machines go down and miss changes. */
+/** What a run may do: how many disks vote, how many are lost in all, how often machines go down and miss changes, and how many are replaced as planned. */
 export interface SimPlan {
   readonly wipes: number;
   readonly size?: number;
   readonly outages?: number;
+  readonly replacements?: number;
 }
 
 /** Drives the real owners and registers through random orders of messages, losses, restarts and wiped disks. */
@@ -58,10 +63,12 @@
   private time = 0;
   private changeCount = 0;
   private diskCount: number;
-  private readonly size: number;
+  readonly size: number;
   private readonly lostAtOnce: number;
   private lostCount = 0;
   private outageCount = 0;
+  private replacedCount = 0;
+  private readonly rosterSteps = new Set<{ readonly startedAt: number }>();
 
   constructor(private readonly chance: Chance, private readonly most: SimPlan) {
     this.size = most.size ?? DEFAULT_SIZE;
@@ -162,6 +169,7 @@
     const dice = this.chance.next();
     if (dice < 0.2) this.chance.of(this.running).restart();
     else if (dice < 0.4) this.time += LEASE_MS;
+    else if (dice < 0.55 && this.mayReplace) this.replaceMachine();
     else if (dice < 0.7) this.wipe();
     else this.takeDownOrBack();
   }
@@ -291,13 +299,61 @@
     book.isDown = false;
   }
 
+  /** How many votes no running or stopped machine has, by the newest committed roster or any later one that a disk has accepted. */
+  private get missingVotes(): number {
+    const committed = Math.max(0, ...this.books.map((book) => book.committedEntry(ROSTER_KEY)?.serial ?? 0));
+    const rosters = this.books.flatMap((book) => [book.committedEntry(ROSTER_KEY), book.disk.get(ROSTER_KEY)?.accepted ?? null]).filter((entry) => entry !== null && entry.serial >= committed);
+    const voting = rosters.map((entry) => (entry?.value as Roster).members.filter((member) => this.isThere(member)).length);
+    return this.size - Math.min(this.size, ...voting);
+  }
+
+  /** How many disks were lost in this run. */
+  get lostDisks(): number {
+    return this.lostCount;
+  }
+
+  /** How often a disk that had lost its vote was given one again. */
+  get votesRegained(): number {
+    const inOrder = [...this.rosters].sort(([one], [other]) => one - other).map(([, value]) => (value as Roster).members.map(({ id }) => id));
+    const isRegained = (id: DiskId, place: number): boolean => place > 0 && inOrder[place - 1]?.includes(id) === false && inOrder.slice(0, place - 1).some((ids) => ids.includes(id));
+    return inOrder.reduce((count, ids, place) => count + ids.filter((id) => isRegained(id, place)).length, 0);
+  }
+
+  private isThere(member: RosterMember): boolean {
+    return this.books.some((book) => book.member.id === member.id);
+  }
+
+  private get mayReplace(): boolean {
+    return this.books.length > this.size || this.replacedCount < (this.most.replacements ?? 0);
+  }
+
+  /** A planned replacement: first a new machine with an empty disk, later any machine is removed for good. */
+  private replaceMachine(): void {
+    if (this.books.length > this.size) {
+      if (this.missingVotes >= this.lostAtOnce || this.isRosterChanging) return;
+      const removed = this.chance.of(this.books);
+      removed.restart();
+      this.books = this.books.filter((book) => book !== removed);
+      return;
+    }
+    this.replacedCount += 1;
+    this.diskCount += 1;
+    this.books = [...this.books, new SimBook(this.memberOf(this.diskCount), this)];
+  }
+
+  /** Calm steps until every vote belongs to a disk that is there: each loss to be borne finds as many voters as there can be. */
+  async settleRoster(): Promise<void> {
+    for (let step = 1; step <= ROSTER_STEPS; step += 1) {
+      await this.step(true);
+      if (step % 100 === 0) this.time += LEASE_MS + 1;
+      if (this.missingVotes === 0) return;
+    }
+    this.faults.push(`${this.missingVotes} of ${this.size} votes belong to nobody although ${this.books.length} disks are there`);
+  }
+
   /** A disk is lost for good, and an empty one comes in its place or at a new machine; no more are missing at once than the votes bear. */
   private wipe(): void {
-    const rosters = this.books.map((book) => book.committedEntry(ROSTER_KEY)).filter((entry) => entry !== null);
-    const newest = rosters.sort((one, other) => other.serial - one.serial)[0];
-    const members = newest === undefined ? [] : (newest.value as Roster).members;
-    const missing = this.size - members.filter((member) => this.books.some((book) => book.member.id === member.id)).length;
-    if (missing >= this.lostAtOnce || this.lostCount >= this.most.wipes) return;
+    if (this.missingVotes >= this.lostAtOnce || this.isRosterChanging || this.lostCount >= this.most.wipes) return;
     this.lostCount += 1;
     const lost = this.chance.of(this.books);
     this.diskCount += 1;
@@ -309,18 +365,20 @@
   }
 
   private tendRoster(book: SimBook): void {
-    const owner = book.owner(ROSTER_KEY);
-    const voters = book.voters();
-    if (voters === null || !owner.serving) return;
+    if (!book.owner(ROSTER_KEY).serving) return;
     const present: readonly Present[] = this.running.map((one) => ({ identity: { id: one.member.id, isEmpty: false, isSpare: one.isSpare(), voters: null }, member: one.member }));
-    const step = nextRosterStep(voters.members, present, (member) => !this.books.some((one) => one.member.id === member.id), this.size);
-    if (step === null) return;
-    const members = step.kind === 'drop' ? voters.members.filter((member) => member.id !== step.id) : [...voters.members, step.member];
-    this.changeCount += 1;
-    const spare = step.kind === 'admit' ? this.books.find((one) => one.member.id === step.member.id) : undefined;
-    const isReady = spare === undefined ? Promise.resolve(true) : spare.copyFrom(voters.members);
-    const number = this.changeCount;
-    void isReady.then(async (ready) => { if (ready) await owner.change({ base: voters.serial, id: `roster-${number}` as ChangeId, value: { members } satisfies Roster }); });
+    book.rosterKeeper.meet(present);
+    const step = { startedAt: this.time };
+    this.rosterSteps.add(step);
+    void book.rosterKeeper.tend().then(() => this.rosterSteps.delete(step));
+  }
+
+  /**
+   * Between the two writes of a swap all but one of the other disks are needed. When the swap is made for a machine that is only
+   * silent, a disk that is lost in these moments can take the majority: no disk is lost in them here.
+   */
+  private get isRosterChanging(): boolean {
+    return [...this.rosterSteps].some(({ startedAt }) => this.time - startedAt < ROSTER_STEP_MS);
   }
 
   private memberOf(number: number): RosterMember {
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -13,7 +13,7 @@
 import { KeyOwner, type ChangeDefect } from './keyOwner.js';
 import type { Membership } from './membership.js';
 import type { Frame } from './program.js';
-import { isFenced, OldRoster, voteDefect, type VoterLink } from './quorum.js';
+import { isFenced, isWithoutVote, OldRoster, voteDefect, type VoterLink } from './quorum.js';
 import type { RegisterReply } from './register.js';
 import { repeat } from './repeat.js';
 import type { Replica } from './replica.js';
@@ -112,7 +112,7 @@
   }
 
   identity(): IdentityMessage {
-    return { id: this.replica.id, isEmpty: this.replica.isEmpty, isSpare: this.replica.isSpare, voters: this.voters(), accepted: this.replica.acceptedSerials(OWNED_KEYS) };
+    return { id: this.replica.id, isEmpty: this.replica.isEmpty, isSpare: this.isSpare, voters: this.voters(), accepted: this.replica.acceptedSerials(OWNED_KEYS) };
   }
 
   async change(message: ChangeMessage): Promise<OwnerAnswer> {
@@ -135,10 +135,15 @@
     return changed.match<OwnerAnswer>((serial) => ({ kind: 'acknowledged', serial }), ownerAnswer);
   }
 
+  /** Whether this disk may be given a vote: it has none, and no damaged copy. What it promised and accepted under an earlier vote it keeps. */
+  private get isSpare(): boolean {
+    return this.replica.damagedKeys.length === 0 && isWithoutVote(this.replica.id, this.voters());
+  }
+
   /** Readies this spare disk for a vote: takes over what a majority of the voters holds. */
   async copyFrom(message: CopyMessage): Promise<CopyAnswer> {
     if (message.disk !== undefined && message.disk !== this.replica.id) return { copied: false, detail: `disk ${message.disk} is meant, this is ${this.replica.id}` };
-    if (!this.replica.isSpare) return { copied: false, detail: 'this disk has had a vote' };
+    if (!this.isSpare) return { copied: false, detail: 'this disk has a vote, or a damaged copy' };
     const copied = await copyFromMajority(message.members, (member) => this.store.dump(member));
     const adopted: Result<void, Defect> = copied.isErr() ? err(copied.error) : await this.replica.adopt(copied.value, GRACE_MS);
     return adopted.match<CopyAnswer>(() => ({ copied: true, detail: '' }), (defect) => ({ copied: false, detail: defect.describe() }));
@@ -321,8 +326,8 @@
   }
 
   private async tendRoster(): Promise<void> {
-    const step = await this.rosterKeeper.tend();
-    if (step !== null) this.frame.log.info({ event: 'roster-step', step });
+    const tended = await this.rosterKeeper.tend();
+    if (tended !== null) this.frame.log.info({ event: 'roster-step', step: tended.step, outcome: tended.outcome.match(() => 'done', (defect) => defect.describe()) });
   }
 
   private async found(members: readonly RosterMember[]): Promise<void> {
--- a/src/process/quorum.ts
+++ b/src/process/quorum.ts
@@ -42,6 +42,12 @@
   return isNamed || rosterSerial > known.serial ? null : new NoVote('this disk is on no roster that it knows of');
 };
 
+/**
+ * Whether a disk has no vote by the newest roster that it knows. Its own copy of the roster may be older and still name it: a
+ * disk that was dropped while its machine was silent is without a vote from the moment that it hears of the later roster.
+ */
+export const isWithoutVote = (own: DiskId, known: Voters | null): boolean => known === null || !known.members.some((member) => member.id === own);
+
 /**
  * Whether a replica must not answer an ask made under this roster. The roster's own key is fenced by what is
  * known to be committed only, so that a half-made step can still be finished or undone.
--- a/src/process/replica.ts
+++ b/src/process/replica.ts
@@ -1,6 +1,6 @@
 import { BSON } from 'bson';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { ROSTER_KEY, type Entry, type Roster } from '../version/entry.js';
+import type { Entry } from '../version/entry.js';
 import type { DiskId, Instant, KeyName, Serial } from './brands.js';
 import type { Clock } from './clock.js';
 import type { AcceptedSerials } from './commitEvidence.js';
@@ -89,12 +89,6 @@
     return [...this.damaged];
   }
 
-  /** Whether this disk has no vote and never had one that it knows of. */
-  get isSpare(): boolean {
-    const roster = this.accepted(ROSTER_KEY)?.value as Roster | undefined;
-    return this.damaged.size === 0 && (roster === undefined || !roster.members.some((member) => member.id === this.id));
-  }
-
   /** Whether this disk has ever taken part. */
   get isEmpty(): boolean {
     return this.copies.size === 0 && this.damaged.size === 0;
--- a/src/process/spareCopy.ts
+++ b/src/process/spareCopy.ts
@@ -31,10 +31,21 @@
 
 /**
  * Reads every key from a majority of the voters. Keys are registers of their own, so a roster step moves none of
- * them: a disk that is to vote must first hold whatever an earlier majority may have stored.
+ * them: a disk that is to vote must first hold whatever an earlier majority may have stored. Settles once a majority has
+ * answered: a voter that is silent is not waited for.
  */
-export const copyFromMajority = async (members: readonly RosterMember[], fetch: (member: RosterMember) => Promise<Result<Copies, Defect>>): Promise<Result<Copies, CopyFailed>> => {
-  const fetched = await Promise.all(members.map(fetch));
-  const got = fetched.flatMap((one) => (one.isOk() ? [one.value] : []));
-  return got.length > members.length / 2 ? ok(mergedCopies(got)) : err(new CopyFailed(`${got.length} of ${members.length} voters could be read`));
+export const copyFromMajority = (members: readonly RosterMember[], fetch: (member: RosterMember) => Promise<Result<Copies, Defect>>): Promise<Result<Copies, CopyFailed>> => {
+  const needed = Math.floor(members.length / 2) + 1;
+  return new Promise((settle) => {
+    const got: Copies[] = [];
+    let answered = 0;
+    const hear = (answer: Result<Copies, Defect>): void => {
+      answered += 1;
+      if (answer.isOk()) got.push(answer.value);
+      if (got.length >= needed) settle(ok(mergedCopies(got)));
+      else if (answered === members.length) settle(err(new CopyFailed(`${got.length} of ${members.length} voters could be read`)));
+    };
+    if (members.length === 0) settle(err(new CopyFailed('there are no voters to be read')));
+    for (const member of members) void fetch(member).then(hear);
+  });
 };
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -1,6 +1,7 @@
 import { join } from 'node:path';
 import * as assert from 'uvu/assert';
 import { Chance } from '../src/fleet/chance.js';
+import type { Daemon } from '../src/fleet/daemon.js';
 import type { ForceLog } from '../src/fleet/checker.js';
 import { FaultMaker } from '../src/fleet/faults.js';
 import { callJson, Fleet, PORTS, until, type JsonAnswer } from '../src/fleet/fleet.js';
@@ -35,6 +36,40 @@
   return acknowledged(maker) >= count;
 });
 
+interface RosterView {
+  readonly voters: { readonly members: readonly { readonly id: string; readonly address: string }[] } | null;
+}
+
+/** The processes of a core machine that is added to a fleet, not yet started; its disk is empty. */
+const addCore = (fleet: Fleet, name: string, last: number): readonly Daemon[] => {
+  const host = `${fleet.block}.${last}`;
+  const machine = { ...fleet.machine('core3'), name, host, advertised: host };
+  const ratebook = fleet.daemon('ratebook', machine, PORTS.ratebookAdmin, ['--data-folder', join(fleet.folder, name)]);
+  const directory = fleet.daemon('directory', machine, PORTS.directoryAdmin, []);
+  fleet.ratebooks.set(name, ratebook);
+  fleet.directories.set(name, directory);
+  return [ratebook, directory];
+};
+const processesOf = (fleet: Fleet, name: string): readonly Daemon[] => [fleet.ratebooks.get(name), fleet.directories.get(name)].filter((daemon) => daemon !== undefined);
+const hostOf = (address: string): string => address.slice(0, address.indexOf(':'));
+
+/** Waits until exactly the disks of these core machines vote, by the word of one of them. */
+const voting = (fleet: Fleet, asked: string, names: readonly string[]): Promise<unknown> => {
+  const wanted = names.map((name) => hostOf(fleet.ratebooks.get(name)?.adminAddress ?? '')).sort().join();
+  return until(`the disks of ${names.join()} vote`, async () => {
+    const view = await callJson<RosterView>('GET', `${fleet.operator(asked)}/v1/roster`).catch(() => null);
+    return view?.body.voters?.members.map(({ address }) => hostOf(address)).sort().join() === wanted;
+  });
+};
+
+/** A core machine loses power and its disk, and comes back empty at its address. */
+const loseDisk = async (fleet: Fleet, name: string): Promise<void> => {
+  const lost = processesOf(fleet, name);
+  await Promise.all(lost.map((daemon) => daemon.end('SIGKILL')));
+  fleet.wipe(name);
+  await Promise.all(lost.map((daemon) => daemon.start()));
+};
+
 test('each core machine in turn loses its disk at the moment of an acknowledgement: nothing acknowledged is lost', () => withCore({}, async (fleet, maker, sample) => {
   for (const core of ['core1', 'core2', 'core3']) {
     const book = fleet.ratebooks.get(core);
@@ -48,7 +83,7 @@
     await fleet.ready(book as never);
     const disk = book?.lines.filter((line) => line.event === 'listening').at(-1)?.['disk'];
     await until('the fresh disk is on the roster', async () => {
-      const { body } = await callJson<{ readonly voters: { readonly members: readonly { readonly id: string }[] } | null }>('GET', `${fleet.operator()}/v1/roster`);
+      const { body } = await callJson<RosterView>('GET', `${fleet.operator()}/v1/roster`);
       return body.voters?.members.length === 3 && body.voters.members.some((member) => member.id === disk);
     });
     await sample();
@@ -56,19 +91,13 @@
 }));
 
 test('a core machine comes back empty at a new address while pushes run, and every process takes the changed seeds by a reload', () => withCore({ flags: { ratebook: ['--replace-after-ms', '1500'] } }, async (fleet, maker, sample) => {
-  const lost = [fleet.ratebooks.get('core3'), fleet.directories.get('core3')];
-  await Promise.all(lost.map((daemon) => daemon?.end('SIGKILL')));
-  const machine = { ...fleet.machine('core3'), name: 'core4', host: `${fleet.block}.50`, advertised: `${fleet.block}.50` };
+  await Promise.all(processesOf(fleet, 'core3').map((daemon) => daemon.end('SIGKILL')));
   const soFar = acknowledged(maker);
   const pushing = pushUntil(maker, soFar + 5);
-  fleet.ratebooks.set('core4', fleet.daemon('ratebook', machine, PORTS.ratebookAdmin, ['--data-folder', join(fleet.folder, 'core4')]));
-  fleet.directories.set('core4', fleet.daemon('directory', machine, PORTS.directoryAdmin, []));
-  await fleet.reseed(['core1', 'core2'].map((core) => `${fleet.machine(core).host}:${PORTS.ratebookMember}`).concat(`${machine.host}:${PORTS.ratebookMember}`));
-  await Promise.all(['core4'].flatMap((core) => [fleet.ratebooks.get(core)?.start(), fleet.directories.get(core)?.start()]));
-  await until('the new disk is on the roster', async () => {
-    const { body } = await callJson<{ readonly voters: { readonly members: readonly { readonly address: string }[] } | null }>('GET', `${fleet.operator('core4')}/v1/roster`);
-    return body.voters?.members.length === 3 && body.voters.members.some((member) => member.address.startsWith(machine.host));
-  });
+  const added = addCore(fleet, 'core4', 50);
+  await fleet.reseed([fleet.machine('core1').host, fleet.machine('core2').host, `${fleet.block}.50`].map((host) => `${host}:${PORTS.ratebookMember}`));
+  await Promise.all(added.map((daemon) => daemon.start()));
+  await voting(fleet, 'core4', ['core1', 'core2', 'core4']);
   await pushing;
   await sample();
   await Promise.all([fleet.ratebooks.get('core1'), fleet.directories.get('core1')].map((daemon) => daemon?.end('SIGKILL')));
@@ -81,6 +110,27 @@
   maker.changes.push({ base: -1, outcome: 'undecided', serial: 0, content: (await fleet.state('app1'))?.fingerprint ?? '', sentAt: Date.now(), at: Date.now(), routes: [] });
 }));
 
+// Guards against a disk that was dropped while its machine was frozen and never votes again: the machine that is then removed
+// keeps its vote, and the next lost disk takes the configuration.
+test('a core machine that froze while a successor stood ready votes again, and a lost disk later costs nothing', () => withCore({ flags: { ratebook: ['--replace-after-ms', '1500'] } }, async (fleet, maker, sample) => {
+  await Promise.all(addCore(fleet, 'core4', 50).map((daemon) => daemon.start()));
+  processesOf(fleet, 'core2').forEach((daemon) => daemon.signal('SIGSTOP'));
+  await voting(fleet, 'core3', ['core1', 'core3', 'core4']);
+  processesOf(fleet, 'core2').forEach((daemon) => daemon.signal('SIGCONT'));
+  await maker.push(1, [maker.nextManifest()], 'core3');
+  await Promise.all(processesOf(fleet, 'core1').map((daemon) => daemon.end('SIGTERM')));
+  await voting(fleet, 'core3', ['core2', 'core3', 'core4']);
+  const soFar = acknowledged(maker);
+  await maker.push(1, [maker.nextManifest()], 'core2');
+  await loseDisk(fleet, 'core3');
+  await until('a change after the loss', async () => {
+    await maker.push(1, [maker.nextManifest()], 'core2');
+    return acknowledged(maker) >= soFar + 2;
+  });
+  await sample();
+  await Promise.all(processesOf(fleet, 'core1').map((daemon) => daemon.start()));
+}));
+
 test('a core split three ways acknowledges nothing; whole again it has lost nothing', () => withCore({ relayed: true, flags: { directory: ['--change-ms', '1500'] } }, async (fleet, maker, sample) => {
   const { body: { serial } } = await callJson<{ readonly serial: number }>('GET', `${fleet.operator()}/v1/manifest`);
   await fleet.inForce(serial);
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -16,14 +16,22 @@
 const SEEDS = Number(process.env['SEEDS'] ?? 1000);
 const STEPS = 2000;
 
+const acknowledgedIn = (sim: StoreSim): StoreSim['told'] => sim.told.filter((one) => one.outcome === 'acknowledged');
+
+/** What is read back is no older than what was acknowledged. */
+const checkReadBack = async (sim: StoreSim): Promise<void> => {
+  const last = await sim.readBack();
+  const highest = Math.max(0, ...acknowledgedIn(sim).map((one) => one.serial));
+  if ((last?.serial ?? 0) < highest) sim.faults.push(`read back ${last?.serial}, acknowledged ${highest}`);
+};
+
 const drive = async (seed: number, plan: SimPlan): Promise<StoreSim> => {
   const sim = new StoreSim(new Chance(seed), plan);
   for (let count = 0; count < STEPS; count += 1) await sim.step(false);
-  const last = await sim.readBack();
-  const acknowledged = sim.told.filter((one) => one.outcome === 'acknowledged');
-  const highest = Math.max(0, ...acknowledged.map((one) => one.serial));
-  if ((last?.serial ?? 0) < highest) sim.faults.push(`read back ${last?.serial}, acknowledged ${highest}`);
-  for (const one of acknowledged) {
+  await checkReadBack(sim);
+  await sim.settleRoster();
+  await checkReadBack(sim);
+  for (const one of acknowledgedIn(sim)) {
     if (sim.history.get(one.serial) !== one.id) sim.faults.push(`${one.id} was acknowledged as serial ${one.serial}, which holds ${String(sim.history.get(one.serial))}`);
   }
   const inForce = new Set([...sim.history.values()]);
@@ -37,24 +45,31 @@
   return sim;
 };
 
-// Guards against the vote of an empty disk in the name of the lost one whose address it has.
-for (const [size, wipes, outages] of [[3, 0, 0], [3, 6, 0], [3, 4, 12], [5, 6, 12]] as const) {
-  test(`${SEEDS} seeded runs of ${size} disks with losses, restarts, ${wipes} lost disks and ${outages} outages keep one acknowledged history`, async () => {
+// Guards against the vote of an empty disk in the name of the lost one whose address it has, and against a disk that was dropped
+// while its machine was silent and never votes again: the roster then holds disks that are gone, and the next loss takes the majority.
+for (const [size, wipes, outages, replacements] of [[3, 0, 0, 0], [3, 6, 0, 0], [3, 4, 12, 0], [5, 6, 12, 0], [3, 3, 40, 12], [5, 4, 40, 12]] as const) {
+  test(`${SEEDS} seeded runs of ${size} disks with losses, restarts, ${wipes} lost disks, ${outages} outages and ${replacements} replaced machines keep one acknowledged history and a whole roster`, async () => {
     let acknowledged = 0;
     let undecided = 0;
     let found = 0;
     let caughtUp = 0;
     let proven = 0;
+    let lost = 0;
+    let regained = 0;
     for (let seed = 1; seed <= SEEDS; seed += 1) {
-      const sim = await drive(seed, { size, wipes, outages });
+      const sim = await drive(seed, { size, wipes, outages, replacements });
       assert.equal(sim.faults, [], `seed ${seed}`);
-      acknowledged += sim.told.filter((one) => one.outcome === 'acknowledged').length;
+      acknowledged += acknowledgedIn(sim).length;
       found += sim.foundCount;
       caughtUp += sim.caughtUpCount;
       proven += sim.provenCount;
+      lost += sim.lostDisks;
+      regained += sim.votesRegained;
       undecided += sim.told.filter((one) => one.outcome === 'undecided').length;
     }
     assert.ok(acknowledged > SEEDS && undecided > 0, `${acknowledged} acknowledged, ${undecided} undecided: the runs reach what they are for`);
+    assert.ok(wipes === 0 || lost > SEEDS, `${lost} disks were lost`);
+    assert.ok(replacements === 0 || regained > SEEDS / 10, `${regained} times a disk was given its vote again`);
     assert.ok(proven > SEEDS, `${proven} times it was proven up to when a book knows all commits`);
     assert.ok(found > SEEDS && caughtUp > SEEDS, `${found} entries found committed without an owner, ${caughtUp} books caught up`);
   });
