An acknowledged departure lies on the core's disks and outlives the end of every process

Cause: the mark of a departure, and of 'draining', lay in the memory of other processes alone, and a directory took itself as complete 1.5 s after its start; the endpoint's own health answer was taken even earlier.

Now a majority of the disks of the newest roster has the mark before the 200; directories read the marks of a majority before they answer for all; disks copy them before they vote. Marks that come during a write share the next one. A refusing, full or stalled disk is no acknowledgement. While no majority answers, other processes alone do, as before, and the marks are written once it is back. Format: new calls and a new folder only; former ratebooks and directories are worked beside.

Not measured: what a departure costs on the wire.

--- a/src/connection/beatDoor.ts
+++ b/src/connection/beatDoor.ts
@@ -7,7 +7,7 @@
 import type { TooManyDepartures } from '../process/departures.js';
 import type { Announcement, BeatAnswer, Departed } from '../process/announcement.js';
 import type { LocalEndpoints } from '../process/localEndpoints.js';
-import type { MarkReplicas, TooFewReplicas } from '../process/markReplicas.js';
+import type { MarkNotKept, MarkReplicas } from '../process/markReplicas.js';
 import { probeShape } from '../version/manifest.js';
 import { problem } from './operators.js';
 
@@ -37,7 +37,7 @@
 }
 
 /** Takes a heartbeat; that an endpoint leaves is acknowledged once others hold the mark. */
-export const acknowledgeBeat = async (desk: BeatDesk, said: Announcement): Promise<Result<BeatAnswer, Departed | TooManyDepartures | TooFewReplicas>> => {
+export const acknowledgeBeat = async (desk: BeatDesk, said: Announcement): Promise<Result<BeatAnswer, Departed | TooManyDepartures | MarkNotKept>> => {
   const answer = desk.endpoints.beat(said);
   if (answer.isErr() || !said.leaving) return answer;
   const kept = await desk.marks.keep({ instance: said.instance, state: 'leaving' });
@@ -45,7 +45,7 @@
 };
 
 /** Takes a departure; it is acknowledged once nothing runs at the endpoint, or the time is up, and others hold the mark. */
-export const acknowledgeDeparture = async (desk: BeatDesk, id: EndpointId, instance: InstanceId, mostMs?: number): Promise<Result<void, TooManyDepartures | TooFewReplicas>> => {
+export const acknowledgeDeparture = async (desk: BeatDesk, id: EndpointId, instance: InstanceId, mostMs?: number): Promise<Result<void, TooManyDepartures | MarkNotKept>> => {
   const [left, kept] = await Promise.all([desk.endpoints.signOff(id, instance, mostMs), desk.marks.keep({ instance, state: 'departed' })]);
   return left.andThen(() => kept);
 };
--- a/src/connection/nodeCalls.ts
+++ b/src/connection/nodeCalls.ts
@@ -2,6 +2,7 @@
 import type { Address, BootId, EndpointId, InstanceId, NodeName, Serial, ServiceName, ZoneName } from '../process/brands.js';
 import type { HostWord, ServiceMarks } from '../version/endpointList.js';
 import { plainShape } from './shapes.js';
+import { markStates, type DepartureMark } from '../version/departureMark.js';
 import { LatencyHistogram } from '../version/latencyHistogram.js';
 import { rolloutSnapshotShape, type RolloutSnapshot } from '../version/rollout.js';
 import type { ToldMoment } from '../process/moment.js';
@@ -101,14 +102,6 @@
 export interface AliveAnswer extends ReportAnswer { readonly isKnown: boolean }
 export const aliveAnswerShape = Joi.object({ isKnown: Joi.boolean().required(), above: Joi.number().min(0), departed: Joi.array().items(item), leaving: Joi.array().items(item) });
 
-/** An instance that said that it leaves, or that it is gone: whatever heartbeat comes late, it takes no new request. */
-export interface DepartureMark {
-  readonly instance: InstanceId;
-  readonly state: 'leaving' | 'departed';
-}
-const markStates = ['leaving', 'departed'] as const;
-export const departureMarkShape = Joi.object({ instance: text, state: Joi.string().valid(...markStates).required() });
-
 /** Whether the process that was asked to keep a mark holds it now. */
 export interface MarkKept { readonly isKept: boolean }
 export const markKeptShape = Joi.object({ isKept: Joi.boolean().required() });
--- a/src/connection/storeCalls.ts
+++ b/src/connection/storeCalls.ts
@@ -12,9 +12,10 @@
 import { LostDefect } from '../process/defect.js';
 import type { Copies } from '../process/spareCopy.js';
 import type { WireClient, WireDefect } from './wire.js';
+import { departureMarkShape, type DepartureMark } from '../version/departureMark.js';
 
 /** The calls that a ratebook takes from other processes. */
-export const StorePath = { ask: '/store/ask', identity: '/store/identity', change: '/store/change', read: '/store/read', committed: '/store/committed', poll: '/store/poll', replace: '/store/replace', dump: '/store/dump', copy: '/store/copy' } as const;
+export const StorePath = { ask: '/store/ask', identity: '/store/identity', change: '/store/change', read: '/store/read', committed: '/store/committed', poll: '/store/poll', replace: '/store/replace', dump: '/store/dump', copy: '/store/copy', keepMark: '/store/marks/keep', readMarks: '/store/marks/read' } as const;
 
 const text = Joi.string().max(256).required();
 const whole = Joi.number().integer().min(0).required();
@@ -86,6 +87,19 @@
 }
 export const pollAnswerShape = Joi.object({ entries: Joi.array().items(committedShape.keys({ learnedAt: Joi.number() })).required(), isCurrent: Joi.boolean().required(), provenAt: Joi.number() });
 
+/** What a ratebook says of the marks on its disk, beside which disk that is and who votes by the newest roster that it knows. */
+interface MarkWord {
+  readonly disk: DiskId;
+  readonly voters: Voters | null;
+}
+const markWord = { disk: text, voters: votersShape.allow(null).required() };
+/** Whether the mark is synced on this disk. */
+export interface MarkKeptWord extends MarkWord { readonly isKept: boolean }
+const markKeptWordShape = Joi.object({ ...markWord, isKept: Joi.boolean().required() });
+/** The marks on this disk; all that count unless a file of them is damaged. */
+export interface MarksWord extends MarkWord { readonly marks: readonly DepartureMark[]; readonly isWhole: boolean }
+const marksWordShape = Joi.object({ ...markWord, marks: Joi.array().items(departureMarkShape).required(), isWhole: Joi.boolean().required() });
+
 interface ReplyMessage { readonly reply?: RegisterReply; readonly defect?: string; readonly detail?: string }
 const replyShape = Joi.object({ reply: Joi.object({ kind: Joi.string().required() }), defect: Joi.string(), detail: Joi.string().allow('') });
 
@@ -102,6 +116,9 @@
 
 const COPY_MS = 4000;
 const DUMP_MS = 2000;
+/** Whoever leaves goes on to another node after a second without an acknowledgement, in milliseconds. */
+const KEEP_MARK_MS = 450;
+const READ_MARKS_MS = 500;
 
 /** Calls on ratebooks, for other ratebooks and for directories. */
 export class StoreClient {
@@ -142,6 +159,16 @@
       : err(new NoVote(`disk ${voter.id} is asked for, ${disk ?? 'one that does not say its name'} answers`))));
   }
 
+  /** Has a ratebook keep the mark of a departure on its disk. */
+  keepMark(address: Address, mark: DepartureMark): ResultAsync<MarkKeptWord, WireDefect> {
+    return this.wire.call(address, StorePath.keepMark, mark, KEEP_MARK_MS, markKeptWordShape);
+  }
+
+  /** The marks of departures on a ratebook's disk. */
+  readMarks(address: Address): ResultAsync<MarksWord, WireDefect> {
+    return this.wire.call(address, StorePath.readMarks, {}, READ_MARKS_MS, marksWordShape);
+  }
+
   committed(address: Address, message: CommittedMessage): ResultAsync<object, WireDefect> {
     return this.wire.call(address, StorePath.committed, message, 1000);
   }
--- a/src/fleet/platformEndpoint.ts
+++ b/src/fleet/platformEndpoint.ts
@@ -72,6 +72,8 @@
   isAlive = true;
   /** What it thinks of itself: a health answer may be false. */
   isHealthy = true;
+  /** Whether its health answer denies that it leaves. */
+  hidesLeaving = false;
   /** Where it listens, or listened. */
   listenedAt = '';
   private sequence = 0;
@@ -271,7 +273,8 @@
 
   private answerProbe(outgoing: ServerResponse): void {
     this.probes += 1;
-    outgoing.writeHead(this.isDraining || this.hasDeparted || !this.isHealthy ? 503 : 200, { 'instance-id': this.instance, 'content-length': 0 }).end();
+    const isLeaving = (this.isDraining || this.hasDeparted) && !this.hidesLeaving;
+    outgoing.writeHead(isLeaving || !this.isHealthy ? 503 : 200, { 'instance-id': this.instance, 'content-length': 0 }).end();
   }
 
   private refuse(outgoing: ServerResponse, { id }: PlatformRecord, status: number): void {
--- a/src/fleet/platformFleet.ts
+++ b/src/fleet/platformFleet.ts
@@ -114,6 +114,23 @@
     return [...this.ratebooks.values(), ...this.directories.values(), ...this.sidecars.values()];
   }
 
+  /** Empties the data folder of a core machine whose ratebook does not run. */
+  wipe(core: string): void {
+    rmSync(join(this.folder, core), { recursive: true, force: true });
+  }
+
+  /** The ids of the disks that vote, by the word of a core machine's directory. */
+  async votingDisks(core: string): Promise<readonly string[]> {
+    const answer = await callJson<{ readonly voters: { readonly members: readonly { readonly id: string }[] } | null }>('GET', `http://${this.directories.get(core)?.adminAddress}/v1/roster`);
+    return (answer.body.voters?.members ?? []).map(({ id }) => id);
+  }
+
+  /** How many ratebooks have the mark of an instance's departure on their disks. */
+  async disksWithMark(instance: string): Promise<number> {
+    const answers = await Promise.all([...this.ratebooks.values()].map((daemon) => callJson<{ readonly marks: readonly { readonly instance: string }[] }>('GET', `http://${daemon.adminAddress}/v1/departures`).catch(() => null)));
+    return answers.filter((answer) => answer?.body.marks.some((mark) => mark.instance === instance)).length;
+  }
+
   machine(name: string): PlatformMachine {
     const found = [...this.machines, ...this.cores].find((one) => one.name === name);
     if (found === undefined) throw new Error(`no machine ${name}`);
--- a/src/process/announcement.ts
+++ b/src/process/announcement.ts
@@ -1,6 +1,6 @@
-import type { DepartureMark } from '../connection/nodeCalls.js';
 import type { Address, EndpointId, InstanceId, ServiceName, VersionName, ZoneName } from './brands.js';
 import { Defect } from './defect.js';
+import type { DepartureMark } from '../version/departureMark.js';
 
 /** The number of the announcement of an endpoint that was asked for it: below that of any heartbeat. */
 export const MET_SEQUENCE = -1;
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -9,6 +9,8 @@
 import { Address, type DiskId, type Epoch, type Instant, type KeyName, type Millis, type Serial } from './brands.js';
 import type { Defect } from './defect.js';
 import { LEASE } from './keyHolder.js';
+import { MarkHolder } from './markHolder.js';
+import type { MarkLog } from './markLog.js';
 import { Moment, type ToldMoment } from './moment.js';
 import { KeyOwner, type ChangeDefect } from './keyOwner.js';
 import type { Membership } from './membership.js';
@@ -57,9 +59,12 @@
   private isSweeping = false;
   private readonly catchUp: CatchUp;
   private readonly pollers = new Pollers();
+  /** The marks of departures on this disk. */
+  readonly marks: MarkHolder;
   private readonly defects: Counter<'kind'>;
 
-  constructor(private readonly frame: Frame<PlaceSettings>, private readonly replica: Replica, private readonly membership: Membership, private readonly store: StoreClient, private readonly rules: RosterRules) {
+  constructor(private readonly frame: Frame<PlaceSettings>, private readonly replica: Replica, log: MarkLog, private readonly membership: Membership, private readonly store: StoreClient, private readonly rules: RosterRules) {
+    this.marks = new MarkHolder(log, replica.id, () => this.voters(), store);
     const registers = [frame.metrics];
     const mended = new Counter({ name: 'opalstair_copies_mended_total', help: 'Old copies that were written anew', registers });
     this.defects = new Counter({ name: 'opalstair_disk_defects_total', help: 'Writes to the disk that failed', labelNames: ['kind'], registers });
@@ -146,6 +151,7 @@
     if (!this.isSpare) return { copied: false, detail: 'this disk has a vote, or a damaged copy' };
     const copied = await copyFromMajority(message.members, (member) => this.store.dump(member));
     const adopted: Result<void, Defect> = copied.isErr() ? err(copied.error) : await this.replica.adopt(copied.value, GRACE_MS);
+    if (adopted.isOk() && !(await this.marks.copyFrom(message.members))) return { copied: false, detail: 'the marks of departures could not be copied' };
     return adopted.match<CopyAnswer>(() => ({ copied: true, detail: '' }), (defect) => ({ copied: false, detail: defect.describe() }));
   }
 
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -1,6 +1,6 @@
 import { Gauge, Histogram } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
-import type { AliveAnswer, AliveMessage, DepartureMark, ListAsk, ListNews, MarkAnswer, MarkAsk, MarkKept, MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport, ReportAnswer } from '../connection/nodeCalls.js';
+import type { AliveAnswer, AliveMessage, ListAsk, ListNews, MarkAnswer, MarkAsk, MarkKept, MaskMessage, NodeNews, NodePoll, NodeReport, OutcomeReport, ReportAnswer } from '../connection/nodeCalls.js';
 import { MaskSnapshot, type EndpointRow } from '../version/snapshots.js';
 import { Windows } from '../version/windows.js';
 import { Manifest, type HealthRules } from '../version/manifest.js';
@@ -17,6 +17,7 @@
 import { ShareBook, type ShareAsk, type ShareView } from './shareBook.js';
 import type { ShareAnswer } from './shareLease.js';
 import type { StoreFollower } from './storeFollower.js';
+import type { DepartureMark } from '../version/departureMark.js';
 
 export interface DeskRules {
   readonly lapseMs: Millis;
@@ -30,6 +31,8 @@
   readonly tellDirectories: (message: MaskMessage) => void;
   /** What another directory has that this one lacks; null when it does not answer. */
   readonly askList: (directory: NodeName, ask: ListAsk) => Promise<ListNews | null>;
+  /** The marks of departures on a majority of the ratebooks' disks; null while no majority can be read. */
+  readonly readMarks: () => Promise<readonly DepartureMark[] | null>;
   /** The masks that the named nodes have, or some of all nodes. */
   readonly masksOf: (nodes: readonly string[] | null) => Promise<readonly MaskSnapshot[]>;
 }
@@ -37,6 +40,8 @@
 const CALENDAR_FRESH_MS = 5000;
 const DESK_MS = 200;
 const JUDGE_MS = 2000;
+/** How often the marks on the disks are asked for until a majority could be read, in milliseconds. */
+const READ_MARKS_MS = 100;
 const RELAY_MS = 250 as Millis;
 const NO_RULES: HealthRules = Manifest.check({ services: [], bindings: [] })._unsafeUnwrap().health;
 
@@ -104,6 +109,7 @@
         this.judgeIfDue();
       }
     });
+    every(READ_MARKS_MS, () => this.readMarks());
     every(500, () => this.masks.probeMasked(this.rules.probeEveryMs));
     every(1000, async () => {
       this.agreement.watch();
@@ -145,6 +151,13 @@
     return { isKept: true };
   }
 
+  /** Reads the marks of departures from the ratebooks' disks, once: later ones are told to every directory. */
+  private async readMarks(): Promise<void> {
+    if (this.registry.knowsMarks) return;
+    const marks = await this.links.readMarks();
+    if (marks !== null && this.registry.learnMarks(marks)) this.hasNews = true;
+  }
+
   markOf({ instance }: MarkAsk): MarkAnswer {
     return this.registry.markOf(instance);
   }
--- a/src/process/localEndpoints.ts
+++ b/src/process/localEndpoints.ts
@@ -1,12 +1,13 @@
 import { randomBytes } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
 import type { Load, TurnAwayCause } from '../connection/hopCalls.js';
-import type { DepartureMark, MarkAnswer, MarkKept } from '../connection/nodeCalls.js';
+import type { MarkAnswer, MarkKept } from '../connection/nodeCalls.js';
 import { Departed, MET_SEQUENCE, type Announcement, type BeatAnswer, type FindMark } from './announcement.js';
 import type { Address, EndpointId, InstanceId, Instant, ServiceName, VersionName } from './brands.js';
 import type { Clock } from './clock.js';
 import { Departures, type TooManyDepartures } from './departures.js';
 import { RequestTimes } from './requestTimes.js';
+import type { DepartureMark } from '../version/departureMark.js';
 
 /**
  * A beat proves that the endpoint was there when the nonce that it echoes was given out; no order starts later than
--- a/src/process/registry.ts
+++ b/src/process/registry.ts
@@ -1,9 +1,10 @@
-import type { AliveMessage, DepartureMark, ListAsk, ListHint, ListNews, MarkAnswer, MarkedInstance, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
+import type { AliveMessage, ListAsk, ListHint, ListNews, MarkAnswer, MarkedInstance, NodeReport, PassedWord, ReportAnswer } from '../connection/nodeCalls.js';
 import type { EndpointSnapshot, EndpointRow } from '../version/snapshots.js';
 import { ListChanges } from '../version/listChanges.js';
 import { EndpointList, ListMark, type HostWord, type ListedWord, type ServiceMarks } from '../version/endpointList.js';
 import type { Address, BootId, EndpointId, InstanceId, Instant, Millis, NodeName, Serial, ServiceName, ZoneName } from './brands.js';
 import type { Clock } from './clock.js';
+import type { DepartureMark } from '../version/departureMark.js';
 
 /** Words that list nothing and marks of departure are kept so long; a silent host is listed half of it at most. */
 export const MARKS_KEPT_MS = 3_600_000;
@@ -52,6 +53,7 @@
   private readonly startedAt: Instant;
   private markedAt = 0;
   private hints = 0;
+  private hasReadMarks = false;
 
   constructor(private readonly boot: BootId, private readonly clock: Clock, private readonly lapseMs: Millis, private readonly warmMs: Millis, private readonly onChange: () => void, private readonly mark: (rows: readonly EndpointRow[]) => readonly EndpointRow[] = (rows) => rows, private readonly tell: (event: ListEvent) => void = () => undefined) {
     this.startedAt = clock.now();
@@ -85,10 +87,21 @@
     return state === 'departed' && this.take({ words: [], departed: [{ instance, agoMs: 0 }] }, null);
   }
 
-  /** The mark of an instance; a directory that has heard every switchboard out has them all. */
+  /** Takes the marks that a majority of the disks holds: from now on this directory knows of every leaving that was acknowledged with their help. */
+  learnMarks(marks: readonly DepartureMark[]): boolean {
+    this.hasReadMarks = true;
+    return marks.map((mark) => this.keepMark(mark)).some(Boolean);
+  }
+
+  /** Whether the marks on the disks were read. */
+  get knowsMarks(): boolean {
+    return this.hasReadMarks;
+  }
+
+  /** The mark of an instance; a directory that has read the marks on the disks has them all. */
   markOf(instance: InstanceId): MarkAnswer {
     const state = this.list.hasDeparted(instance) ? 'departed' : this.leavingAt.has(instance) ? 'leaving' : null;
-    return { state, isComplete: this.current() !== null };
+    return { state, isComplete: this.hasReadMarks };
   }
 
   /** What a host should know after its report. */
--- a/src/programs/daemons/directory.ts
+++ b/src/programs/daemons/directory.ts
@@ -5,7 +5,7 @@
 import { adminApp, doorTerms, linkTerms, wireServer } from '../../connection/admin.js';
 import { honoDoor } from '../../connection/honoDoor.js';
 import { Listener } from '../../connection/listener.js';
-import { aliveShape, departureMarkShape, listAskShape, listNewsShape, markAskShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, rolloutReportShape, shareAskShape, type AliveMessage, type DepartureMark, type ListAsk, type ListNews, type MarkAsk, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport, type RolloutReport, type SnapshotAsk } from '../../connection/nodeCalls.js';
+import { aliveShape, listAskShape, listNewsShape, markAskShape, maskAnswerShape, maskMessageShape, NodePath, nodePollShape, nodeReportShape, outcomeReportShape, rolloutReportShape, shareAskShape, type AliveMessage, type ListAsk, type ListNews, type MarkAsk, type MaskMessage, type NodePoll, type NodeReport, type OutcomeReport, type RolloutReport, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { HopPath, probeAnswerShape, type ProbeAnswer } from '../../connection/hopCalls.js';
 import { addOperatorCalls } from '../../connection/operators.js';
 import { StoreClient } from '../../connection/storeCalls.js';
@@ -17,6 +17,7 @@
 import { RolloutClerk } from '../../process/rolloutClerk.js';
 import { RolloutController } from '../../process/rolloutController.js';
 import { StoreClerk } from '../../process/storeClerk.js';
+import { MarkDisks } from '../../process/markDisks.js';
 import { Membership } from '../../process/membership.js';
 import type { Frame, Program, Running } from '../../process/program.js';
 import { millisSetting, placeTable, type PlaceSettings, type SettingTable } from '../../process/settings.js';
@@ -26,6 +27,7 @@
 import type { AllowanceDefaults } from '../../version/manifest.js';
 import { Windows } from '../../version/windows.js';
 import { StoreFollower } from '../../process/storeFollower.js';
+import { departureMarkShape, type DepartureMark } from '../../version/departureMark.js';
 
 interface DirectorySettings extends PlaceSettings {
   readonly lapseMs: Millis;
@@ -78,6 +80,7 @@
   const wire = new WireClient(settings.cluster, settings.listenHost, frame.sent);
   const store = new StoreClient(wire);
   const follower = new StoreFollower(frame, membership, store);
+  const markDisks = new MarkDisks(() => follower.ratebooks(), store);
   const duties = new Duties(frame, follower, () => membership.having('directory').map((member) => member.name));
   const desk = new Desk(frame, follower, duties, settings, {
     probe: async (row) => {
@@ -95,6 +98,7 @@
       const asked = membership.having('directory').find((member) => member.name === name);
       return asked === undefined ? null : (await wire.call<ListNews>(asked.wire, NodePath.list, ask, 1000, listNewsShape)).unwrapOr(null);
     },
+    readMarks: () => markDisks.read(),
     masksOf: async (nodes) => {
       const members = membership.having('switchboard').filter((one) => nodes === null || nodes.includes(one.name));
       const asked = [...members].sort(() => Math.random() - 0.5).slice(0, NODES_ASKED);
--- a/src/programs/daemons/switchboard.ts
+++ b/src/programs/daemons/switchboard.ts
@@ -9,17 +9,19 @@
 import type { Door } from '../../connection/connectionGuard.js';
 import { honoDoor } from '../../connection/honoDoor.js';
 import { Listener, type DoorTerms } from '../../connection/listener.js';
-import { departureMarkShape, markAskShape, NodePath, snapshotAskShape, type DepartureMark, type MarkAsk, type SnapshotAsk } from '../../connection/nodeCalls.js';
+import { markAskShape, NodePath, snapshotAskShape, type MarkAsk, type SnapshotAsk } from '../../connection/nodeCalls.js';
 import { problem } from '../../connection/operators.js';
 import { orderDoor as takeOrders } from '../../connection/orderDoor.js';
 import { ownSpeech, type Speech } from '../../connection/speech.js';
 import { SHORT_WIRE_LIMIT, WireClient, type WireDefect } from '../../connection/wire.js';
+import { StoreClient } from '../../connection/storeCalls.js';
 import { addressShape } from '../../process/addressShape.js';
 import { Allowance } from '../../process/allowance.js';
 import type { Address, Millis, NodeName, OrderId, ServiceName } from '../../process/brands.js';
 import type { Defect } from '../../process/defect.js';
 import { Delivery, type DeliverySettings } from '../../process/delivery.js';
 import { LocalEndpoints } from '../../process/localEndpoints.js';
+import { MarkDisks } from '../../process/markDisks.js';
 import { MarkReplicas } from '../../process/markReplicas.js';
 import { Membership } from '../../process/membership.js';
 import { OutcomeBook } from '../../process/outcomeBook.js';
@@ -37,6 +39,7 @@
 import { Rehearsal } from './rehearsal.js';
 import { Forwarder } from '../../request/forwarder.js';
 import { Hosting } from '../../request/hosting.js';
+import { departureMarkShape, type DepartureMark } from '../../version/departureMark.js';
 
 interface SwitchboardSettings extends DeliverySettings {
   readonly orderPort: number;
@@ -121,7 +124,7 @@
   const allowance: Allowance = new Allowance(clock, () => delivery.allowanceRules(), () => shares.part());
   const hosting = new Hosting(frame, endpoints, delivery, links, doors.speech, versions);
   const marks: MarkReplicas = new MarkReplicas({
-    self: settings.node, clock, wire, replicas: Math.max(1, settings.losses), isFirstStart: settings.firstStart, held: () => endpoints.marks(), having: (role) => membership.having(role), rowOf: (instance) => delivery.rowOf(instance), isServing: (said) => hosting.isServing(said),
+    self: settings.node, clock, wire, disks: new MarkDisks(() => membership.having('ratebook').map((member) => member.wire), new StoreClient(wire)), replicas: Math.max(1, settings.losses), isFirstStart: settings.firstStart, held: () => endpoints.marks(), having: (role) => membership.having(role), rowOf: (instance) => delivery.rowOf(instance), isServing: (said) => hosting.isServing(said),
   });
   const traces = new Traces(settings.tracesKept);
   const forwarder = new Forwarder(frame, { delivery, picker, book, allowance, versions, hosting, wire, traces, speech: doors.speech, callingService: settings.callingService ?? null, random: Math.random });
--- a/src/programs/ratebook.ts
+++ b/src/programs/ratebook.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { randomBytes } from 'node:crypto';
 import Joi from 'joi';
+import { Gauge } from 'prom-client';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { adminApp, doorTerms, linkTerms, wireServer } from '../connection/admin.js';
 import { honoDoor } from '../connection/honoDoor.js';
@@ -11,9 +12,11 @@
 import type { DiskId } from '../process/brands.js';
 import type { Defect } from '../process/defect.js';
 import { FolderDisk } from '../process/disk.js';
+import { MarkLog } from '../process/markLog.js';
 import { Membership } from '../process/membership.js';
 import { runProgram, type Frame, type Running } from '../process/program.js';
 import { Replica, RESERVE_BYTES } from '../process/replica.js';
+import { departureMarkShape, type DepartureMark } from '../version/departureMark.js';
 import { millisSetting, placeTable, RATEBOOK_STEP, type PlaceSettings, type SettingTable } from '../process/settings.js';
 
 interface RatebookSettings extends PlaceSettings {
@@ -40,10 +43,12 @@
   const replica = await Replica.open(disk, frame.clock, GRACE_MS, randomBytes(12).toString('base64url') as DiskId, Math.min(RESERVE_BYTES, quotaBytes / 4));
   if (replica.isErr()) return err(replica.error);
   if (replica.value.damagedKeys.length > 0) log.error({ event: 'damaged-keys', keys: replica.value.damagedKeys });
+  const marks = await MarkLog.open(disk, frame.clock);
+  if (marks.isErr()) return err(marks.error);
   const membership = await Membership.open(frame, 'ratebook');
   if (membership.isErr()) return err(membership.error);
   const wire = new WireClient(settings.cluster, settings.listenHost, frame.sent);
-  const books = new Bookkeeper(frame, replica.value, membership.value, new StoreClient(wire), {
+  const books = new Bookkeeper(frame, replica.value, marks.value, membership.value, new StoreClient(wire), {
     replaceAfterMs: settings.replaceAfterMs, size: settings.losses === undefined ? settings.seeds.length : 2 * settings.losses + 1, mayFound: settings.mayFound,
   });
   const server = wireServer(frame);
@@ -53,6 +58,8 @@
   server.on<ReplaceMessage>(StorePath.replace, replaceShape, (message) => books.replace(message));
   server.on<CopyMessage>(StorePath.copy, copyShape, (message) => books.copyFrom(message));
   server.on(StorePath.dump, Joi.object(), () => books.dump());
+  server.on<DepartureMark>(StorePath.keepMark, departureMarkShape, (mark) => books.marks.keep(mark));
+  server.on(StorePath.readMarks, Joi.object(), () => books.marks.read());
   server.on<KeyMessage>(StorePath.read, keyShape, (message) => books.read(message.key));
   server.on<CommittedMessage>(StorePath.committed, committedShape, (message) => {
     books.learn(message);
@@ -61,6 +68,8 @@
   server.on<PollMessage>(StorePath.poll, pollShape, (message) => books.poll(message));
   let stopping = false;
   const admin = adminApp(frame, membership.value, () => books.isReady && !stopping);
+  admin.get('/v1/departures', (context) => context.json(books.marks.read()));
+  new Gauge({ name: 'opalstair_departure_marks', help: 'Marks of departures that lie on this disk and still count', registers: [frame.metrics], collect() { this.set(marks.value.marks().length); } });
   const terms = doorTerms(frame);
   const listeners = await ResultAsync.combine([Listener.openWire(server, settings.listenHost, settings.wirePort, linkTerms(frame, terms)), Listener.open(honoDoor(admin, frame.memory), settings.listenHost, settings.adminPort, terms)]);
   if (listeners.isErr()) return err(listeners.error);
--- a/test/departureReplicas.test.ts
+++ b/test/departureReplicas.test.ts
@@ -73,6 +73,63 @@
   });
 }
 
+for (const state of ['draining', 'departed'] as const) {
+  // Guards against an acknowledged leaving that only processes hold, and that is forgotten when all of them end at once.
+  test(`acknowledged is ${state}, and every process is killed at once: late heartbeats of before list nobody again, whatever the endpoint says of its health`, async () => {
+    const leaving = await fleet.endpoint('app1', { slots: 30 });
+    await fleet.listed('line', [leaving, lasting]);
+    leaving.stopBeating();
+    leaving.hidesLeaving = true;
+    assert.is(await (state === 'draining' ? leaving.drain() : leaving.depart()), 200);
+    const acknowledgedAt = Date.now();
+    await Promise.all(fleet.daemons().map((daemon) => daemon.end('SIGKILL')));
+    await Promise.all(fleet.daemons().map((daemon) => daemon.start()));
+    assert.equal(await lateArrivals(leaving, acknowledgedAt), []);
+    await leaving.die();
+    await fleet.listed('line', [lasting]);
+  });
+}
+
+// Guards against a leaving that was acknowledged while the core was down, and that its disks never hear of.
+test('what was acknowledged while the core was down is on its disks once it is back: every process may then be killed at once', async () => {
+  const leaving = await fleet.endpoint('app1', { slots: 30 });
+  await fleet.listed('line', [leaving, lasting]);
+  leaving.stopBeating();
+  leaving.hidesLeaving = true;
+  await Promise.all(core().map((daemon) => daemon.end('SIGKILL')));
+  assert.is(await leaving.depart(), 200);
+  const acknowledgedAt = Date.now();
+  await Promise.all(core().map((daemon) => daemon.start()));
+  await until('a majority of the disks holds the mark', async () => (await fleet.disksWithMark(leaving.instance)) >= 2);
+  await Promise.all(fleet.daemons().map((daemon) => daemon.end('SIGKILL')));
+  await Promise.all(fleet.daemons().map((daemon) => daemon.start()));
+  assert.equal(await lateArrivals(leaving, acknowledgedAt), []);
+  await leaving.die();
+  await fleet.listed('line', [lasting]);
+});
+
+// Guards against marks that are lost with the disks that held them, one after the other.
+test('a disk that takes the place of a lost one has the marks of departures before it votes', async () => {
+  const leaving = await fleet.endpoint('app1', { slots: 30 });
+  await fleet.listed('line', [leaving, lasting]);
+  assert.is(await leaving.depart(), 200);
+  await until('all disks hold the mark', async () => (await fleet.disksWithMark(leaving.instance)) === 3);
+  for (const name of ['core1', 'core2', 'core3']) {
+    const ratebook = fleet.ratebooks.get(name);
+    const former = await fleet.votingDisks('core1');
+    await ratebook?.end('SIGKILL');
+    fleet.wipe(name);
+    await ratebook?.start();
+    await until(`the new disk of ${name} votes`, async () => {
+      const disks = await fleet.votingDisks('core1');
+      return disks.length === 3 && disks.filter((disk) => former.includes(disk)).length === 2;
+    });
+    assert.is(await fleet.disksWithMark(leaving.instance), 3);
+  }
+  await leaving.die();
+  await fleet.listed('line', [lasting]);
+});
+
 // Guards against a departure that is acknowledged although nobody else can know of it.
 test('with no other process to tell, a departure is not acknowledged; once there is one, it is', async () => {
   const leaving = await fleet.endpoint('app1', { slots: 30 });
