Founders that are killed before they have founded do so at their next start

Cause: whether a disk may found was read from the settings of each start, and only the first says so. Now a ratebook notes the founding seeds on its disk before anything else at the first start, and founds by that note.

Open: a kill of all founders before any note is written; a founder that stays away (known red).

--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -41,7 +41,8 @@
   readonly replaceAfterMs: number;
   /** How many disks vote. */
   readonly size: number;
-  readonly mayFound: boolean;
+  /** The seeds that found the mesh together; null when this disk takes no part in it. */
+  readonly founders: readonly Address[] | null;
 }
 
 /** One ratebook's part in the control state: its replica, the keys that it owns, what it knows to be committed. */
@@ -316,9 +317,9 @@
     if (this.voters() !== null) return this.tendRoster();
     const named = present.find(({ voters }) => voters !== null && voters.serial === 1 && voters.members.some((member) => member.id === this.replica.id));
     if (named?.voters) return this.found(named.voters.members);
-    const foundingSeeds = this.frame.settings.seeds.slice(0, this.rules.size);
+    const foundingSeeds = this.rules.founders?.slice(0, this.rules.size) ?? [];
     const founders = present.filter(({ member }) => foundingSeeds.includes(member.member));
-    const isWhole = this.rules.mayFound && (this.rules.size < 3 || foundingSeeds.length >= 3) && founders.length === foundingSeeds.length;
+    const isWhole = foundingSeeds.length > 0 && (this.rules.size < 3 || foundingSeeds.length >= 3) && founders.length === foundingSeeds.length;
     if (isWhole && founders.every(({ isEmpty, voters }) => isEmpty && voters === null)) {
       await this.found(founders.map(({ id, member }) => ({ id, address: member.wire })));
     }
--- a/src/programs/ratebook.ts
+++ b/src/programs/ratebook.ts
@@ -13,6 +13,7 @@
 import type { Defect } from '../process/defect.js';
 import { FolderDisk } from '../process/disk.js';
 import { MarkLog } from '../process/markLog.js';
+import { foundersOf } from '../process/founders.js';
 import { Membership } from '../process/membership.js';
 import { runProgram, type Frame, type Running } from '../process/program.js';
 import { Replica, RESERVE_BYTES } from '../process/replica.js';
@@ -32,7 +33,7 @@
   dataFolder: { check: Joi.string().min(1).required(), help: 'folder that holds the control state' },
   dataQuotaMiB: { check: Joi.number().integer().min(1).max(1_048_576).default(1024), help: 'most space to use in the data folder, in MiB' },
   losses: { check: Joi.number().integer().min(0).max(7), help: 'how many disks may be lost at once; 2 x losses + 1 disks vote (default: as many as there are seeds)' },
-  mayFound: { check: Joi.boolean().default(true), help: 'whether an empty disk may take part in the founding of the mesh; false once the mesh has been there' },
+  mayFound: { check: Joi.boolean().default(true), help: 'whether an empty disk may take part in the founding of the mesh; a disk remembers it, so false may be said from the second start on' },
   replaceAfterMs: { check: millisSetting(20_000, 0), help: 'silence after which a disk is swapped for an empty one that is there; 0: only at an operator\'s word' },
 };
 
@@ -40,6 +41,8 @@
   const { settings, log } = frame;
   const quotaBytes = settings.dataQuotaMiB * 1024 * 1024;
   const disk = new FolderDisk(settings.dataFolder, quotaBytes);
+  const founders = await foundersOf(disk, settings.mayFound, settings.seeds);
+  if (founders.isErr()) return err(founders.error);
   const replica = await Replica.open(disk, frame.clock, GRACE_MS, randomBytes(12).toString('base64url') as DiskId, Math.min(RESERVE_BYTES, quotaBytes / 4));
   if (replica.isErr()) return err(replica.error);
   if (replica.value.damagedKeys.length > 0) log.error({ event: 'damaged-keys', keys: replica.value.damagedKeys });
@@ -49,7 +52,7 @@
   if (membership.isErr()) return err(membership.error);
   const wire = new WireClient(settings.cluster, settings.listenHost, frame.sent);
   const books = new Bookkeeper(frame, replica.value, marks.value, membership.value, new StoreClient(wire), {
-    replaceAfterMs: settings.replaceAfterMs, size: settings.losses === undefined ? settings.seeds.length : 2 * settings.losses + 1, mayFound: settings.mayFound,
+    replaceAfterMs: settings.replaceAfterMs, size: settings.losses === undefined ? settings.seeds.length : 2 * settings.losses + 1, founders: founders.value,
   });
   const server = wireServer(frame);
   server.on<AskMessage>(StorePath.ask, askShape, (message) => books.answerAsk(message));
--- a/test/founding.test.ts
+++ b/test/founding.test.ts
@@ -11,21 +11,41 @@
 
 /** The time within which service must be back after a loss that is to be borne, in milliseconds. */
 const RECOVERY_MS = 15_000;
+/** Several times as long as a founding takes, in milliseconds. */
+const FOUNDING_MS = 4000;
 const CORES = [1, 2, 3] as const;
 
 /** The processes of three core machines that have never run before. */
 class FreshCore {
-  readonly daemons: readonly (readonly Daemon[])[];
+  daemons: readonly (readonly Daemon[])[];
 
   private constructor(private readonly block: string, private readonly folder: string) {
-    const seeds = CORES.flatMap((number) => ['--seed', `${block}.${number}:${PORTS.ratebookMember}`]);
-    this.daemons = CORES.map((number) => {
-      const host = `${block}.${number}`;
-      const place = ['--node', `core${number}`, '--zone', 'zone1', '--host', host, '--cluster', block, ...seeds];
-      return [new Daemon('ratebook', [...place, '--data-folder', join(folder, `core${number}`)], `${host}:${PORTS.ratebookAdmin}`), new Daemon('directory', place, `${host}:${PORTS.directoryAdmin}`)];
+    this.daemons = this.processes(CORES, true);
+  }
+
+  /** The processes of every core machine, with the seeds that are told them and whether this is the first start. */
+  processes(seedNumbers: readonly number[], isFirst: boolean): readonly (readonly Daemon[])[] {
+    const seeds = seedNumbers.flatMap((number) => ['--seed', `${this.block}.${number}:${PORTS.ratebookMember}`]);
+    return CORES.map((number) => {
+      const host = `${this.block}.${number}`;
+      const place = ['--node', `core${number}`, '--zone', 'zone1', '--host', host, '--cluster', this.block, ...seeds];
+      const store = ['--data-folder', join(this.folder, `core${number}`), '--losses', '1', '--may-found', String(isFirst)];
+      return [new Daemon('ratebook', [...place, ...store], `${host}:${PORTS.ratebookAdmin}`), new Daemon('directory', place, `${host}:${PORTS.directoryAdmin}`)];
     });
   }
 
+  /** Ends every process with its disk kept, and starts them again as one does at every later start. */
+  async killAndRestart(seedNumbers: readonly number[]): Promise<void> {
+    await Promise.all(this.daemons.flat().map((daemon) => daemon.end('SIGKILL')));
+    this.daemons = this.processes(seedNumbers, false);
+    await Promise.all(this.daemons.flat().map((daemon) => daemon.start()));
+  }
+
+  /** Empties the data folder of a core machine whose ratebook does not run. */
+  wipe(number: number): void {
+    rmSync(join(this.folder, `core${number}`), { recursive: true, force: true });
+  }
+
   static async make(): Promise<FreshCore> {
     return new FreshCore(await freeBlock(), mkdtempSync(join(tmpdir(), 'opalstair-founding-')));
   }
@@ -71,4 +91,37 @@
   }
 });
 
+// Guards against a mesh that nobody may found any more, since all founders were killed before they had founded it.
+test('core processes that are all killed during the first start found the mesh when they are back, whatever seeds they are told then', async () => {
+  const core = await FreshCore.make();
+  try {
+    await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
+    await core.killAndRestart([1, 1, 2]);
+    await until('a change is taken', async () => (await core.push()) === 200);
+  } finally {
+    await core.end();
+  }
+});
+
+// Guards against empty disks that found a second history after the loss of the first.
+test('disks that were never part of a first start found nothing', async () => {
+  const core = await FreshCore.make();
+  try {
+    await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
+    await until('a change is taken', async () => (await core.push()) === 200);
+    await Promise.all(core.daemons.flat().map((daemon) => daemon.end('SIGKILL')));
+    CORES.forEach((number) => core.wipe(number));
+    await core.killAndRestart(CORES);
+    const startedAt = performance.now();
+    const statuses = new Set<number>();
+    await until('the founders had time enough', async () => {
+      statuses.add(await core.push());
+      return performance.now() - startedAt > FOUNDING_MS;
+    });
+    assert.not(statuses.has(200), [...statuses].join());
+  } finally {
+    await core.end();
+  }
+});
+
 run();
