A stopping door lets answers be taken to their end

Cause: closing the door closed what Node's server calls idle, and it calls a connection idle as soon as the answer was handed over. Now the guard of the connections says what is idle.

Open: a client that never takes its answer holds the stop up until its limit or SIGKILL.

--- a/src/connection/connectionGuard.ts
+++ b/src/connection/connectionGuard.ts
@@ -144,6 +144,14 @@
     for (const connection of this.connections.values()) this.look(connection, now, limits);
   }
 
+  /** Ends the connections on which no request is being sent and no answer is left to be taken. */
+  closeIdle(): void {
+    for (const { socket, state, current, bytesBefore } of [...this.connections.values()]) {
+      const isIdle = current === null && state !== 'lingering' && socket.bytesRead === bytesBefore;
+      if (isIdle) socket.destroy();
+    }
+  }
+
   /** The connection gets no further request and is closed soon. */
   linger(socket: Socket): void {
     const connection = this.connections.get(socket);
--- a/src/connection/listener.ts
+++ b/src/connection/listener.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server, type ServerOptions } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { Server as NetServer, type AddressInfo } from 'node:net';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { Address } from '../process/brands.js';
 import { Defect } from '../process/defect.js';
@@ -17,6 +17,9 @@
 /** How often connections are looked at, in milliseconds. */
 const SWEEP_MS = 500;
 
+/** How often a closing door looks for connections that have become idle, in milliseconds. */
+const CLOSING_SWEEP_MS = 50;
+
 /** How a door treats its connections. */
 export interface DoorTerms {
   /** Runs the sweep over the connections; a timer of the door's own when not given. */
@@ -34,7 +37,7 @@
 
 /** A listening HTTP server that can be closed without dropping what it has read. */
 export class Listener {
-  private constructor(private readonly server: Server, readonly address: Address, private readonly wire: WireServer | null) {}
+  private constructor(private readonly server: Server, private readonly guard: ConnectionGuard, readonly address: Address, private readonly wire: WireServer | null) {}
 
   static open(door: Door, host: string, port: number, terms: DoorTerms = {}): ResultAsync<Listener, ListenDefect> {
     return Listener.listen(createServer({ ...OPTIONS, ...terms.options }), door, host, port, terms);
@@ -56,7 +59,7 @@
     } else terms.ticker.every(SWEEP_MS, () => guard.sweep());
     return new ResultAsync(new Promise<Result<Listener, ListenDefect>>((settle) => {
       server.once('error', (error) => settle(err(new ListenDefect(`${host}:${port}`, error))));
-      server.listen(port, host, 1024, () => settle(ok(new Listener(server, Address.of(host, (server.address() as AddressInfo).port), wire))));
+      server.listen(port, host, 1024, () => settle(ok(new Listener(server, guard, Address.of(host, (server.address() as AddressInfo).port), wire))));
     }));
   }
 
@@ -69,14 +72,19 @@
     this.server.keepAliveTimeout = idleMs;
   }
 
-  /** Stops listening, closes idle connections and resolves when the last running exchange has ended. */
+  /**
+   * Stops listening, closes idle connections and resolves when the last running exchange has ended, its answer taken. What is idle is the guard's
+   * word: Node's own server takes a connection for idle, and cuts it, as soon as its answer was handed over, though its client still reads.
+   */
   async close(): Promise<void> {
     await this.wire?.close();
     await new Promise<void>((settle) => {
-      this.server.close(() => settle());
-      this.server.closeIdleConnections();
-      const sweep = setInterval(() => this.server.closeIdleConnections(), 50);
-      this.server.once('close', () => clearInterval(sweep));
+      const sweep = setInterval(() => this.guard.closeIdle(), CLOSING_SWEEP_MS);
+      NetServer.prototype.close.call(this.server, () => {
+        clearInterval(sweep);
+        settle();
+      });
+      this.guard.closeIdle();
     });
   }
 
