A ratebook that ends as planned hands its vote to a spare disk first

Cause: a stopping ratebook handed its keys over and not its vote; the successor waited for its silence. Now the roster's owner swaps the two before the process ends, 2 s at most.

--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -25,6 +25,8 @@
 
 const ASK_MS = 1000;
 const INQUIRE_MS = 300;
+/** How long a stopping ratebook waits for another disk to take its vote over, in milliseconds: a platform gives it some seconds in all. */
+const HAND_OVER_VOTE_MS = 2000;
 const CATCH_UP_MS = 50;
 const CATCH_UP_MOST_MS = 400;
 const OWNED_KEYS: readonly KeyName[] = [ROSTER_KEY, MANIFEST_KEY, ROLLOUTS_KEY];
@@ -79,6 +81,8 @@
     new Gauge({ name: 'opalstair_key_owned', help: '1 when this ratebook owns the key', labelNames: ['key'], registers, collect() { owners.forEach((owner, key) => this.set({ key }, owner.serving ? 1 : 0)); } });
     new Gauge({ name: 'opalstair_key_epoch', help: 'The epoch that this replica has promised', labelNames: ['key'], registers, collect() { replica.keys().forEach((key) => this.set({ key }, replica.promised(key).promised)); } });
     new Gauge({ name: 'opalstair_key_serial', help: 'The newest committed serial known here', labelNames: ['key'], registers, collect: function collect(this: Gauge) { OWNED_KEYS.forEach((key) => this.set({ key }, committed(key))); } });
+    new Gauge({ name: 'opalstair_spare_disks', help: 'Disks that are there without a vote and may be given one', registers, collect: function collect(this: Gauge) { this.set(spares().length); } });
+    const spares = (): readonly RosterMember[] => this.rosterKeeper.spares();
     const committed = (key: KeyName): number => this.committedEntries.get(key)?.serial ?? 0;
   }
 
@@ -186,9 +190,21 @@
   async stop(): Promise<void> {
     this.isStopping = true;
     this.pollers.wake();
+    const timeIsUp = new Promise<void>((settle) => { setTimeout(settle, HAND_OVER_VOTE_MS).unref(); });
+    await Promise.race([this.handOverVote(), timeIsUp]);
     await this.handAllOver();
   }
 
+  /** A planned end with a spare disk at hand costs no vote: whoever owns the roster puts that disk in this one's place. */
+  private async handOverVote(): Promise<void> {
+    const successor = this.rosterKeeper.successor();
+    if (successor === null || isWithoutVote(this.replica.id, this.voters())) return;
+    const message: ReplaceMessage = { lost: this.replica.id, replacement: successor.id };
+    const answers = await Promise.all([this.replace(message), ...this.others().map(async (address) => (await this.store.replace(address, message, HAND_OVER_VOTE_MS)).unwrapOr(null))]);
+    const isDone = answers.some((answer) => answer?.kind === 'acknowledged');
+    this.frame.log.info({ event: 'vote-handed-over', successor, outcome: isDone ? 'done' : answers.map((answer) => (answer === null ? 'no answer' : 'detail' in answer ? answer.detail : answer.kind)).join('; ') });
+  }
+
   private async handAllOver(): Promise<void> {
     await Promise.all([...this.owners.values()].map((owner) => owner.handOver()));
   }
--- a/src/process/rosterKeeper.ts
+++ b/src/process/rosterKeeper.ts
@@ -19,13 +19,17 @@
 /** What the step would be taken for: the disks that count as lost, those first that are surely gone. */
 export type LostMembers = readonly RosterMember[];
 
+/** The disks that are there without a vote and may be given one, in an order that all agree on. */
+const sparesOf = (members: readonly RosterMember[], present: readonly Present[]): readonly RosterMember[] =>
+  present.filter(({ identity, member }) => identity.isSpare && !members.some((known) => known.id === member.id)).map(({ member }) => member).sort((one, other) => (one.id < other.id ? -1 : 1));
+
 /**
  * Decides on the roster's next step. A lost disk is dropped first and a spare one admitted after that: each write
  * changes one member, so any majority before it and any after it share a disk. The spare copies all keys first.
  */
 export const nextRosterStep = (members: readonly RosterMember[], present: readonly Present[], lostMembers: LostMembers, size: number): RosterStep | null => {
-  const spares = present.filter(({ identity, member }) => identity.isSpare && !members.some((known) => known.id === member.id)).map(({ member }) => member);
-  const [firstSpare] = [...spares].sort((one, other) => (one.id < other.id ? -1 : 1));
+  const spares = sparesOf(members, present);
+  const [firstSpare] = spares;
   if (firstSpare === undefined) return null;
   if (members.length < size) return { kind: 'admit', member: firstSpare };
   const [lost] = lostMembers;
@@ -58,7 +62,17 @@
     return { step, outcome };
   }
 
-  /** Puts a spare disk in the place of another, at an operator's word. */
+  /** The disks that could take over a vote now. */
+  spares(): readonly RosterMember[] {
+    return sparesOf(this.voters()?.members ?? [], this.present);
+  }
+
+  /** The disk that a stopping ratebook hands its vote to; null when there is none, or when only operators move votes. */
+  successor(): RosterMember | null {
+    return this.replaceAfterMs === 0 ? null : this.spares()[0] ?? null;
+  }
+
+  /** Puts a spare disk in the place of another, at the word of an operator or of the other's own ratebook, which stops. */
   async replace(lost: DiskId, replacement: DiskId): Promise<Result<Serial, ChangeDefect>> {
     const voters = this.voters();
     const turnAway = (detail: string): Result<Serial, ChangeDefect> => err(new ChangeTurnedAway('unavailable', detail, (voters?.serial ?? 0) as Serial));
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -131,6 +131,26 @@
   await Promise.all(processesOf(fleet, 'core1').map((daemon) => daemon.start()));
 }));
 
+// Guards against a planned removal that costs a vote for some seconds although its successor has caught up.
+test('a core machine that ends as planned hands its vote to the successor that stands ready: a disk lost right after costs nothing', () => withCore({ flags: { ratebook: ['--replace-after-ms', '600000'] } }, async (fleet, maker, sample) => {
+  await Promise.all(addCore(fleet, 'core4', 50).map((daemon) => daemon.start()));
+  await until('every voter knows of the spare disk', async () => {
+    const metrics = await Promise.all(['core1', 'core2', 'core3'].map((name) => callJson<string>('GET', `http://${fleet.ratebooks.get(name)?.adminAddress}/metrics`)));
+    return metrics.every(({ body }) => body.includes('opalstair_spare_disks 1'));
+  });
+  const soFar = acknowledged(maker);
+  await maker.push(1, [maker.nextManifest()], 'core3');
+  await Promise.all(processesOf(fleet, 'core1').map((daemon) => daemon.end('SIGTERM')));
+  await loseDisk(fleet, 'core2');
+  await until('a change after the loss', async () => {
+    await maker.push(1, [maker.nextManifest()], 'core3');
+    return acknowledged(maker) >= soFar + 2;
+  });
+  await voting(fleet, 'core3', ['core2', 'core3', 'core4']);
+  await sample();
+  await Promise.all(processesOf(fleet, 'core1').map((daemon) => daemon.start()));
+}));
+
 test('a core split three ways acknowledges nothing; whole again it has lost nothing', () => withCore({ relayed: true, flags: { directory: ['--change-ms', '1500'] } }, async (fleet, maker, sample) => {
   const { body: { serial } } = await callJson<{ readonly serial: number }>('GET', `${fleet.operator()}/v1/manifest`);
   await fleet.inForce(serial);
