--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -131,11 +131,11 @@
   return limit === null || limit >= settings.descriptors ? settings : { ...settings, descriptors: limit };
 };
 
-/** Joins file and flags (flags win), checks them all and fills in the defaults. */
+/** Joins file and flags (flags win), checks them all and fills in the defaults. A setting that the file gives as null counts as not given. */
 export const readSettings = <S>(table: SettingTable, line: CommandLine): Result<S, SettingsDefect> =>
   readFile(line.settingsFile).andThen((fromFile) => {
     const checks = Object.fromEntries(Object.entries(table).map(([name, row]) => [name, row.check]));
-    const given = Object.fromEntries(Object.entries({ ...fromFile, ...line.flags }).map(([name, value]) => [name, plain(name, value)]));
+    const given = Object.fromEntries(Object.entries({ ...fromFile, ...line.flags }).filter(([, value]) => value !== null).map(([name, value]) => [name, plain(name, value)]));
     const checked = Joi.object(checks).validate(given, { abortEarly: true, errors: { label: 'path' } });
     return checked.error === undefined ? ok(withinSystem(withSeedPorts(checked.value as PlaceSettings)) as S) : err(new SettingsDefect(checked.error.message));
   });
