Directories stop asking for marks once they have them; a stopping disk is no spare; answers that decide aren't waited for

Read again: a directory woke ten times a second for good; a ratebook that had handed its vote over and still ran counted as a spare disk; a stopping ratebook and a swap waited for silent ones although a majority had answered.

--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -145,9 +145,9 @@
     return changed.match<OwnerAnswer>((serial) => ({ kind: 'acknowledged', serial }), ownerAnswer);
   }
 
-  /** Whether this disk may be given a vote: it has none, and no damaged copy. What it promised and accepted under an earlier vote it keeps. */
+  /** Whether this disk may be given a vote: it has none, no damaged copy, and stays. What it promised and accepted under an earlier vote it keeps. */
   private get isSpare(): boolean {
-    return this.replica.damagedKeys.length === 0 && isWithoutVote(this.replica.id, this.voters());
+    return !this.isStopping && this.replica.damagedKeys.length === 0 && isWithoutVote(this.replica.id, this.voters());
   }
 
   /** Readies this spare disk for a vote: takes over what a majority of the voters holds. */
@@ -200,9 +200,12 @@
     const successor = this.rosterKeeper.successor();
     if (successor === null || isWithoutVote(this.replica.id, this.voters())) return;
     const message: ReplaceMessage = { lost: this.replica.id, replacement: successor.id };
-    const answers = await Promise.all([this.replace(message), ...this.others().map(async (address) => (await this.store.replace(address, message, HAND_OVER_VOTE_MS)).unwrapOr(null))]);
-    const isDone = answers.some((answer) => answer?.kind === 'acknowledged');
-    this.frame.log.info({ event: 'vote-handed-over', successor, outcome: isDone ? 'done' : answers.map((answer) => (answer === null ? 'no answer' : 'detail' in answer ? answer.detail : answer.kind)).join('; ') });
+    const asked = [this.replace(message), ...this.others().map(async (address) => (await this.store.replace(address, message, HAND_OVER_VOTE_MS)).unwrapOr(null))];
+    const isDone = await new Promise<boolean>((settle) => {
+      for (const answering of asked) void answering.then((answer) => { if (answer?.kind === 'acknowledged') settle(true); });
+      void Promise.all(asked).then(() => settle(false));
+    });
+    this.frame.log.info({ event: 'vote-handed-over', successor, isDone });
   }
 
   private async handAllOver(): Promise<void> {
--- a/src/process/desk.ts
+++ b/src/process/desk.ts
@@ -109,7 +109,7 @@
         this.judgeIfDue();
       }
     });
-    every(READ_MARKS_MS, () => this.readMarks());
+    void this.readMarks();
     every(500, () => this.masks.probeMasked(this.rules.probeEveryMs));
     every(1000, async () => {
       this.agreement.watch();
@@ -151,11 +151,16 @@
     return { isKept: true };
   }
 
-  /** Reads the marks of departures from the ratebooks' disks, once: later ones are told to every directory. */
+  /** Reads the marks of departures from the ratebooks' disks, until a majority could be read: later ones are told to every directory. */
   private async readMarks(): Promise<void> {
-    if (this.registry.knowsMarks) return;
-    const marks = await this.links.readMarks();
-    if (marks !== null && this.registry.learnMarks(marks)) this.hasNews = true;
+    while (!this.isStopping) {
+      const marks = await this.links.readMarks();
+      if (marks !== null) {
+        if (this.registry.learnMarks(marks)) this.hasNews = true;
+        return;
+      }
+      await new Promise((settle) => { setTimeout(settle, READ_MARKS_MS).unref(); });
+    }
   }
 
   markOf({ instance }: MarkAsk): MarkAnswer {
--- a/src/process/markDisks.ts
+++ b/src/process/markDisks.ts
@@ -12,7 +12,12 @@
   readonly disk: DiskId | null;
   readonly voters: Voters | null;
   readonly isYes: boolean;
+  readonly marks: readonly DepartureMark[];
 }
+/** What one ratebook said; null when it was not reached or said nothing in time. */
+type Ask = (address: Address) => Promise<DiskWord | null>;
+/** Decides by what was heard so far; null while more answers may come that could decide otherwise. */
+type Decide<T> = (words: readonly DiskWord[], isLast: boolean) => T | null;
 
 const newestOf = (words: readonly DiskWord[]): Voters | null =>
   words.reduce<Voters | null>((newest, { voters }) => (voters !== null && voters.serial > (newest?.serial ?? -1) ? voters : newest), null);
@@ -31,36 +36,44 @@
   constructor(private readonly ratebooks: () => readonly Address[], private readonly store: Pick<StoreClient, 'keepMark' | 'readMarks'>) {}
 
   /** Resolves as soon as a majority has synced the mark, or once all have answered or were silent for too long. */
-  keep(mark: DepartureMark): Promise<MarkOutcome> {
-    const addresses = this.ratebooks();
-    return new Promise((settle) => {
-      let words: readonly DiskWord[] = [];
-      let heard = 0;
-      const look = (): void => {
-        const voters = newestOf(words);
-        if (isMajority(words.filter(({ isYes }) => isYes), voters)) settle('kept');
-        else if (heard === addresses.length) settle(isMajority(words, voters) ? 'refused' : 'out-of-reach');
-      };
-      for (const address of addresses) {
-        void this.store.keepMark(address, mark).then((answer) => {
-          heard += 1;
-          answer.map(({ disk, voters, isKept }: MarkKeptWord) => { words = [...words, { address, disk, voters, isYes: isKept }]; });
-          look();
-        });
-      }
-      look();
+  async keep(mark: DepartureMark): Promise<MarkOutcome> {
+    const ask: Ask = async (address) => (await this.store.keepMark(address, mark)).match(({ disk, voters, isKept }: MarkKeptWord): DiskWord | null => ({ address, disk, voters, isYes: isKept, marks: [] }), () => null);
+    const outcome = await this.hear<MarkOutcome>(ask, (words, isLast) => {
+      const voters = newestOf(words);
+      if (isMajority(words.filter(({ isYes }) => isYes), voters)) return 'kept';
+      if (!isLast) return null;
+      return isMajority(words, voters) ? 'refused' : 'out-of-reach';
     });
+    return outcome ?? 'out-of-reach';
   }
 
   /** Every mark that a majority has kept, and perhaps others; null while no majority can be read. */
   async read(): Promise<readonly DepartureMark[] | null> {
+    const ask: Ask = async (address) => (await this.store.readMarks(address)).match(
+      ({ disk, voters, isWhole, marks }: MarksWord): DiskWord | null => ({ address, disk, voters, isYes: isWhole, marks }),
+      (defect) => (defect.kind === 'turned-away' ? { address, disk: null, voters: null, isYes: true, marks: [] } : null));
+    const words = await this.hear(ask, (heard, isLast) => {
+      const isOfFormerRelease = isLast && heard.length === this.ratebooks().length && heard.length > 0 && heard.every(({ disk }) => disk === null);
+      return isOfFormerRelease || isMajority(heard.filter(({ isYes }) => isYes), newestOf(heard)) ? heard : null;
+    });
+    return words?.flatMap(({ marks }) => marks) ?? null;
+  }
+
+  /** Asks every ratebook at once, and settles with the first decision; null when none was made. */
+  private hear<T>(ask: Ask, decide: Decide<T>): Promise<T | null> {
     const addresses = this.ratebooks();
-    const answers = await Promise.all(addresses.map(async (address) => ({ address, answer: await this.store.readMarks(address) })));
-    const words = answers.flatMap(({ address, answer }): readonly DiskWord[] => answer.match(
-      ({ disk, voters, isWhole }: MarksWord) => [{ address, disk, voters, isYes: isWhole }],
-      (defect) => (defect.kind === 'turned-away' ? [{ address, disk: null, voters: null, isYes: true }] : [])));
-    const isOfFormerRelease = words.length > 0 && words.length === addresses.length && words.every(({ disk }) => disk === null);
-    if (!isOfFormerRelease && !isMajority(words.filter(({ isYes }) => isYes), newestOf(words))) return null;
-    return answers.flatMap(({ answer }) => answer.match(({ marks }) => marks, () => []));
+    return new Promise((settle) => {
+      let words: readonly DiskWord[] = [];
+      let answered = 0;
+      const take = (word: DiskWord | null): void => {
+        answered += 1;
+        if (word !== null) words = [...words, word];
+        const isLast = answered === addresses.length;
+        const decision = decide(words, isLast);
+        if (decision !== null || isLast) settle(decision);
+      };
+      for (const address of addresses) void ask(address).then(take);
+      if (addresses.length === 0) settle(null);
+    });
   }
 }
