--- a/test/departureReplicas.test.ts
+++ b/test/departureReplicas.test.ts
@@ -41,6 +41,19 @@
   return leaving.arrivals.map(({ id, at }) => `${id} after ${at.getTime() - acknowledgedAt} ms`);
 };
 
+/** No late heartbeat lists the endpoint again; then it ends. */
+const expectNobody = async (leaving: PlatformEndpoint, acknowledgedAt: number): Promise<void> => {
+  assert.equal(await lateArrivals(leaving, acknowledgedAt), []);
+  await leaving.die();
+  await fleet.listed('line', [lasting]);
+};
+
+/** Every process ends at once and is started again; the disks are kept. */
+const killAll = async (): Promise<void> => {
+  await Promise.all(fleet.daemons().map((daemon) => daemon.end('SIGKILL')));
+  await Promise.all(fleet.daemons().map((daemon) => daemon.start()));
+};
+
 interface Case {
   readonly what: string;
   readonly state: 'draining' | 'departed';
@@ -67,9 +80,7 @@
     const acknowledgedAt = Date.now();
     await Promise.all([sidecar?.end('SIGKILL'), ...(isCoreDown ? [] : core().map((daemon) => daemon.end('SIGKILL')))]);
     await Promise.all([sidecar?.start(), ...core().map((daemon) => daemon.start())]);
-    assert.equal(await lateArrivals(leaving, acknowledgedAt), []);
-    await leaving.die();
-    await fleet.listed('line', [lasting]);
+    await expectNobody(leaving, acknowledgedAt);
   });
 }
 
@@ -82,11 +93,8 @@
     leaving.hidesLeaving = true;
     assert.is(await (state === 'draining' ? leaving.drain() : leaving.depart()), 200);
     const acknowledgedAt = Date.now();
-    await Promise.all(fleet.daemons().map((daemon) => daemon.end('SIGKILL')));
-    await Promise.all(fleet.daemons().map((daemon) => daemon.start()));
-    assert.equal(await lateArrivals(leaving, acknowledgedAt), []);
-    await leaving.die();
-    await fleet.listed('line', [lasting]);
+    await killAll();
+    await expectNobody(leaving, acknowledgedAt);
   });
 }
 
@@ -101,11 +109,8 @@
   const acknowledgedAt = Date.now();
   await Promise.all(core().map((daemon) => daemon.start()));
   await until('a majority of the disks holds the mark', async () => (await fleet.disksWithMark(leaving.instance)) >= 2);
-  await Promise.all(fleet.daemons().map((daemon) => daemon.end('SIGKILL')));
-  await Promise.all(fleet.daemons().map((daemon) => daemon.start()));
-  assert.equal(await lateArrivals(leaving, acknowledgedAt), []);
-  await leaving.die();
-  await fleet.listed('line', [lasting]);
+  await killAll();
+  await expectNobody(leaving, acknowledgedAt);
 });
 
 // Guards against marks that are lost with the disks that held them, one after the other.
@@ -148,8 +153,7 @@
 test('after the end of every process at once a sound endpoint is listed again, also one whose health answers are false', async () => {
   lasting.refresh();
   lasting.isHealthy = false;
-  await Promise.all(fleet.daemons().map((daemon) => daemon.end('SIGKILL')));
-  await Promise.all(fleet.daemons().map((daemon) => daemon.start()));
+  await killAll();
   await fleet.listed('line', [lasting]);
   lasting.isHealthy = true;
 });
--- a/test/founding.test.ts
+++ b/test/founding.test.ts
@@ -61,67 +61,57 @@
   }
 }
 
-// Guards against a first start that waits for a core machine which was lost in its first second and does not come back.
-test('a core machine that is lost as soon as it listens holds up no change', async () => {
+/** Runs a body on a core that has never run before, and ends it. */
+const withCore = async (body: (core: FreshCore) => Promise<void>): Promise<void> => {
   const core = await FreshCore.make();
   try {
-    const [, , lost = []] = core.daemons;
-    await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
-    await Promise.all(lost.map((daemon) => daemon.end('SIGKILL')));
-    const lostAt = performance.now();
-    const statuses = new Set<number>();
-    await until('a change is taken, or the time is up', async () => {
-      statuses.add(await core.push());
-      return statuses.has(200) || performance.now() - lostAt > RECOVERY_MS;
-    });
-    assert.ok(statuses.has(200), `only ${[...statuses].join()} within ${RECOVERY_MS} ms`);
+    await body(core);
   } finally {
     await core.end();
   }
-});
+};
+
+// Guards against a first start that waits for a core machine which was lost in its first second and does not come back.
+test('a core machine that is lost as soon as it listens holds up no change', () => withCore(async (core) => {
+  const [, , lost = []] = core.daemons;
+  await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
+  await Promise.all(lost.map((daemon) => daemon.end('SIGKILL')));
+  const lostAt = performance.now();
+  const statuses = new Set<number>();
+  await until('a change is taken, or the time is up', async () => {
+    statuses.add(await core.push());
+    return statuses.has(200) || performance.now() - lostAt > RECOVERY_MS;
+  });
+  assert.ok(statuses.has(200), `only ${[...statuses].join()} within ${RECOVERY_MS} ms`);
+}));
 
 // The same without the loss: what the test above asks for is possible.
-test('three core machines that start for the first time take a change', async () => {
-  const core = await FreshCore.make();
-  try {
-    await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
-    await until('a change is taken', async () => (await core.push()) === 200);
-  } finally {
-    await core.end();
-  }
-});
+test('three core machines that start for the first time take a change', () => withCore(async (core) => {
+  await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
+  await until('a change is taken', async () => (await core.push()) === 200);
+}));
 
 // Guards against a mesh that nobody may found any more, since all founders were killed before they had founded it.
-test('core processes that are all killed during the first start found the mesh when they are back, whatever seeds they are told then', async () => {
-  const core = await FreshCore.make();
-  try {
-    await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
-    await core.killAndRestart([1, 1, 2]);
-    await until('a change is taken', async () => (await core.push()) === 200);
-  } finally {
-    await core.end();
-  }
-});
+test('core processes that are all killed during the first start found the mesh when they are back, whatever seeds they are told then', () => withCore(async (core) => {
+  await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
+  await core.killAndRestart([1, 1, 2]);
+  await until('a change is taken', async () => (await core.push()) === 200);
+}));
 
 // Guards against empty disks that found a second history after the loss of the first.
-test('disks that were never part of a first start found nothing', async () => {
-  const core = await FreshCore.make();
-  try {
-    await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
-    await until('a change is taken', async () => (await core.push()) === 200);
-    await Promise.all(core.daemons.flat().map((daemon) => daemon.end('SIGKILL')));
-    CORES.forEach((number) => core.wipe(number));
-    await core.killAndRestart(CORES);
-    const startedAt = performance.now();
-    const statuses = new Set<number>();
-    await until('the founders had time enough', async () => {
-      statuses.add(await core.push());
-      return performance.now() - startedAt > FOUNDING_MS;
-    });
-    assert.not(statuses.has(200), [...statuses].join());
-  } finally {
-    await core.end();
-  }
-});
+test('disks that were never part of a first start found nothing', () => withCore(async (core) => {
+  await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
+  await until('a change is taken', async () => (await core.push()) === 200);
+  await Promise.all(core.daemons.flat().map((daemon) => daemon.end('SIGKILL')));
+  CORES.forEach((number) => core.wipe(number));
+  await core.killAndRestart(CORES);
+  const startedAt = performance.now();
+  const statuses = new Set<number>();
+  await until('the founders had time enough', async () => {
+    statuses.add(await core.push());
+    return performance.now() - startedAt > FOUNDING_MS;
+  });
+  assert.not(statuses.has(200), [...statuses].join());
+}));
 
 run();
