Founders agree by a majority: one that is lost holds up the first start no longer

What callers saw: a core machine lost as soon as it listened, at the first start, and every change was answered with 503 for as long as it was away. Cause: each founder wrote the first roster by itself once it heard all of them. Now they agree on it by a register of its own (founding.ts), a majority of the seeds is enough where the first start is said, and a founder that was left out is admitted as a spare disk is.

--- a/src/connection/storeCalls.ts
+++ b/src/connection/storeCalls.ts
@@ -32,11 +32,13 @@
   readonly id: DiskId;
   readonly isEmpty: boolean;
   readonly isSpare: boolean;
+  /** Whether this disk was there at the first start; the former release does not say it. */
+  readonly isFounder?: boolean;
   readonly voters: Voters | null;
   /** What this disk has accepted; the former release does not say it. */
   readonly accepted?: AcceptedSerials;
 }
-export const identityShape = Joi.object({ id: text, isEmpty: Joi.boolean().required(), isSpare: Joi.boolean().required(), voters: votersShape.allow(null).required(), accepted: Joi.object().pattern(Joi.string().max(256), Joi.number().integer().min(0)) });
+export const identityShape = Joi.object({ id: text, isEmpty: Joi.boolean().required(), isSpare: Joi.boolean().required(), isFounder: Joi.boolean(), voters: votersShape.allow(null).required(), accepted: Joi.object().pattern(Joi.string().max(256), Joi.number().integer().min(0)) });
 
 export interface ChangeMessage { readonly key: KeyName; readonly base: Serial; readonly value: unknown; readonly id: ChangeId; readonly serial?: Serial }
 export const changeShape = Joi.object({ key: text, base: whole, value: Joi.any().required(), id: Joi.string().max(128).required(), serial: Joi.number().integer().min(1) });
--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -8,6 +8,8 @@
 import { CommitEvidence, CURRENT_MS, type DiskReport } from './commitEvidence.js';
 import { Address, type DiskId, type Epoch, type Instant, type KeyName, type Millis, type Serial } from './brands.js';
 import type { Defect } from './defect.js';
+import type { Founders } from './founders.js';
+import { Founding, FOUNDING_KEY, type PresentFounder } from './founding.js';
 import { LEASE } from './keyHolder.js';
 import { MarkHolder } from './markHolder.js';
 import type { MarkLog } from './markLog.js';
@@ -43,8 +45,8 @@
   readonly replaceAfterMs: number;
   /** How many disks vote. */
   readonly size: number;
-  /** The seeds that found the mesh together; null when this disk takes no part in it. */
-  readonly founders: readonly Address[] | null;
+  /** Who founds the mesh; null when this disk takes no part in it. */
+  readonly founders: Founders | null;
 }
 
 /** One ratebook's part in the control state: its replica, the keys that it owns, what it knows to be committed. */
@@ -54,6 +56,7 @@
   private readonly owners: ReadonlyMap<KeyName, KeyOwner>;
   private readonly rosterOwner: KeyOwner;
   private readonly rosterKeeper: RosterKeeper;
+  private readonly founding: Founding | null;
   private addresses: ReadonlyMap<DiskId, Address> = new Map();
   private readonly evidence = new CommitEvidence(OWNED_KEYS, (key) => this.serialOf(key));
   private waitUntil: ReadonlyMap<KeyName, Instant> = new Map();
@@ -66,13 +69,14 @@
   readonly marks: MarkHolder;
   private readonly defects: Counter<'kind'>;
 
-  constructor(private readonly frame: Frame<PlaceSettings>, private readonly replica: Replica, log: MarkLog, private readonly membership: Membership, private readonly store: StoreClient, private readonly rules: RosterRules) {
+  constructor(private readonly frame: Frame<PlaceSettings>, private readonly replica: Replica, log: MarkLog, private readonly membership: Membership, private readonly store: StoreClient, rules: RosterRules) {
     this.marks = new MarkHolder(log, replica.id, () => this.voters(), store);
     const registers = [frame.metrics];
     const mended = new Counter({ name: 'opalstair_copies_mended_total', help: 'Old copies that were written anew', registers });
     this.defects = new Counter({ name: 'opalstair_disk_defects_total', help: 'Writes to the disk that failed', labelNames: ['kind'], registers });
     const holder = `${frame.settings.node}/${replica.id}@${frame.boot}`;
     this.owners = new Map(OWNED_KEYS.map((key) => [key, new KeyOwner(key, holder, this, frame.clock, (entry) => this.spread(key, entry), () => mended.inc(), key === ROSTER_KEY ? (entry) => (entry.value as Roster).members : undefined)]));
+    this.founding = rules.founders === null ? null : new Founding(rules.founders, { seed: Address.of(frame.settings.host, frame.settings.memberPort), holder, clock: frame.clock, random: Math.random, ask: (voter, key, serial, ask) => this.ask(voter, key, serial, ask) });
     this.catchUp = new CatchUp(this, holder, OWNED_KEYS, { accepted: (key) => replica.accepted(key), committedSerial: (key) => this.serialOf(key), learn: (key, entry) => this.learn({ key, entry }) });
     frame.stalls.onStall(() => this.fallBehind());
     this.rosterOwner = this.owners.get(ROSTER_KEY) as KeyOwner;
@@ -122,7 +126,7 @@
   }
 
   identity(): IdentityMessage {
-    return { id: this.replica.id, isEmpty: this.replica.isEmpty, isSpare: this.isSpare, voters: this.voters(), accepted: this.replica.acceptedSerials(OWNED_KEYS) };
+    return { id: this.replica.id, isEmpty: this.replica.isEmpty, isSpare: this.isSpare, isFounder: this.founding !== null, voters: this.voters(), accepted: this.replica.acceptedSerials(OWNED_KEYS) };
   }
 
   async change(message: ChangeMessage): Promise<OwnerAnswer> {
@@ -147,7 +151,8 @@
 
   /** Whether this disk may be given a vote: it has none, no damaged copy, and stays. What it promised and accepted under an earlier vote it keeps. */
   private get isSpare(): boolean {
-    return !this.isStopping && this.replica.damagedKeys.length === 0 && isWithoutVote(this.replica.id, this.voters());
+    const isDamaged = this.replica.damagedKeys.some((key) => key !== FOUNDING_KEY);
+    return !this.isStopping && !isDamaged && isWithoutVote(this.replica.id, this.voters());
   }
 
   /** Readies this spare disk for a vote: takes over what a majority of the voters holds. */
@@ -161,7 +166,7 @@
   }
 
   dump(): DumpAnswer {
-    return { disk: this.replica.id, states: [...this.replica.dump()].map(([key, state]) => ({ key, state })) };
+    return { disk: this.replica.id, states: [...this.replica.dump()].filter(([key]) => key !== FOUNDING_KEY).map(([key, state]) => ({ key, state })) };
   }
 
   /** Another ratebook tells of a committed version. */
@@ -213,10 +218,8 @@
   }
 
   private async askHere(message: AskMessage): Promise<Result<RegisterReply, Defect>> {
-    const noVote = voteDefect(this.replica.id, this.voters(), message);
-    if (noVote !== null) return err(noVote);
-    const known = Math.max(this.serialOf(ROSTER_KEY), this.replica.accepted(ROSTER_KEY)?.serial ?? 0);
-    if (isFenced(message.key, message.rosterSerial, this.serialOf(ROSTER_KEY), known)) return err(new OldRoster(`roster ${message.rosterSerial} was replaced by ${known}`));
+    const refusal = this.askDefect(message);
+    if (refusal !== null) return err(refusal);
     const answer = await this.replica.ask(message.key, message.ask);
     if (answer.isErr()) {
       this.defects.inc({ kind: answer.error.kind });
@@ -225,6 +228,15 @@
     return answer;
   }
 
+  /** Why this disk must not answer an ask; null when it may. */
+  private askDefect(message: AskMessage): Defect | null {
+    if (message.key === FOUNDING_KEY) return Founding.askDefect(this.replica.id, this.founding !== null, message.disk);
+    const noVote = voteDefect(this.replica.id, this.voters(), message);
+    if (noVote !== null) return noVote;
+    const known = Math.max(this.serialOf(ROSTER_KEY), this.replica.accepted(ROSTER_KEY)?.serial ?? 0);
+    return isFenced(message.key, message.rosterSerial, this.serialOf(ROSTER_KEY), known) ? new OldRoster(`roster ${message.rosterSerial} was replaced by ${known}`) : null;
+  }
+
   private newsFor(have: Pick<PollMessage, 'manifest' | 'roster' | 'rollouts'>): readonly CommittedMessage[] {
     const serials: ReadonlyMap<KeyName, number> = new Map([[MANIFEST_KEY, have.manifest], [ROSTER_KEY, have.roster], [ROLLOUTS_KEY, have.rollouts ?? Infinity]]);
     return [...this.committedEntries].filter(([key, entry]) => entry.serial > (serials.get(key) ?? Infinity)).map(([key, entry]) => ({ key, entry }));
@@ -320,7 +332,7 @@
     await Promise.all([...this.owners.values()].filter((owner) => owner.serving).map((owner) => owner.renew()));
   }
 
-  /** Learns where the disks are; the founders, once all are there and all empty, write the first roster. */
+  /** Learns where the disks are; a founder that knows of no roster takes part in the founding of the first one. */
   private async meetOthers(): Promise<void> {
     const met = await Promise.all(this.membership.having('ratebook').map(async (member) => {
       const own = member.boot === this.frame.boot;
@@ -336,12 +348,9 @@
     if (this.voters() !== null) return this.tendRoster();
     const named = present.find(({ voters }) => voters !== null && voters.serial === 1 && voters.members.some((member) => member.id === this.replica.id));
     if (named?.voters) return this.found(named.voters.members);
-    const foundingSeeds = this.rules.founders?.slice(0, this.rules.size) ?? [];
-    const founders = present.filter(({ member }) => foundingSeeds.includes(member.member));
-    const isWhole = foundingSeeds.length > 0 && (this.rules.size < 3 || foundingSeeds.length >= 3) && founders.length === foundingSeeds.length;
-    if (isWhole && founders.every(({ isEmpty, voters }) => isEmpty && voters === null)) {
-      await this.found(founders.map(({ id, member }) => ({ id, address: member.wire })));
-    }
+    const founders = present.filter(({ isFounder }) => isFounder === true).map(({ id, member }): PresentFounder => ({ seed: member.member, member: { id, address: member.wire } }));
+    const agreed = await this.founding?.settle(founders);
+    if (agreed?.some(({ id }) => id === this.replica.id)) await this.found(agreed);
   }
 
   /** A disk told what it has accepted: what is not known here to be committed may have been, and the word of it may be lost. */
@@ -357,11 +366,9 @@
   }
 
   private async found(members: readonly RosterMember[]): Promise<void> {
-    if (!this.replica.isEmpty) return;
-    const sorted = [...members].sort((one, other) => (one.id < other.id ? -1 : 1));
-    const entry: Entry = { epoch: 1 as Epoch, serial: 1 as Serial, value: { members: sorted } satisfies Roster, changes: [] };
+    const entry: Entry = { epoch: 1 as Epoch, serial: 1 as Serial, value: { members } satisfies Roster, changes: [] };
     const founded = await this.replica.found(ROSTER_KEY, entry);
-    this.frame.log.info({ event: 'founded', members: sorted, outcome: founded.match(() => 'done', (defect) => defect.describe()) });
+    this.frame.log.info({ event: 'founded', members, outcome: founded.match(() => 'done', (defect) => defect.describe()) });
   }
 
   /** Finds what a lost message would have told: asks the others for anything newer. */
--- a/src/programs/ratebook.ts
+++ b/src/programs/ratebook.ts
@@ -25,7 +25,7 @@
   readonly dataQuotaMiB: number;
   readonly replaceAfterMs: number;
   readonly losses?: number;
-  readonly mayFound: boolean;
+  readonly mayFound?: boolean;
 }
 
 const table: SettingTable = {
@@ -33,15 +33,19 @@
   dataFolder: { check: Joi.string().min(1).required(), help: 'folder that holds the control state' },
   dataQuotaMiB: { check: Joi.number().integer().min(1).max(1_048_576).default(1024), help: 'most space to use in the data folder, in MiB' },
   losses: { check: Joi.number().integer().min(0).max(7), help: 'how many disks may be lost at once; 2 x losses + 1 disks vote (default: as many as there are seeds)' },
-  mayFound: { check: Joi.boolean().default(true), help: 'whether an empty disk may take part in the founding of the mesh; a disk remembers it, so false may be said from the second start on' },
+  mayFound: { check: Joi.boolean(), help: 'true: this is the first start of all, a majority of the seeds may found the mesh; false: it was there before, an empty disk founds nothing (default: only all seeds together found it); a disk remembers its first start' },
   replaceAfterMs: { check: millisSetting(20_000, 0), help: 'silence after which a disk is swapped for an empty one that is there; 0: only at an operator\'s word' },
 };
 
+/** So many seeds found a mesh of as many disks or more. */
+const LEAST_FOUNDERS = 3;
+
 const start = async (frame: Frame<RatebookSettings>): Promise<Result<Running<RatebookSettings>, Defect>> => {
   const { settings, log } = frame;
   const quotaBytes = settings.dataQuotaMiB * 1024 * 1024;
   const disk = new FolderDisk(settings.dataFolder, quotaBytes);
-  const founders = await foundersOf(disk, settings.mayFound, settings.seeds);
+  const size = settings.losses === undefined ? settings.seeds.length : 2 * settings.losses + 1;
+  const founders = await foundersOf(disk, settings.mayFound ?? null, settings.seeds.slice(0, size));
   if (founders.isErr()) return err(founders.error);
   const replica = await Replica.open(disk, frame.clock, GRACE_MS, randomBytes(12).toString('base64url') as DiskId, Math.min(RESERVE_BYTES, quotaBytes / 4));
   if (replica.isErr()) return err(replica.error);
@@ -52,7 +56,7 @@
   if (membership.isErr()) return err(membership.error);
   const wire = new WireClient(settings.cluster, settings.listenHost, frame.sent);
   const books = new Bookkeeper(frame, replica.value, marks.value, membership.value, new StoreClient(wire), {
-    replaceAfterMs: settings.replaceAfterMs, size: settings.losses === undefined ? settings.seeds.length : 2 * settings.losses + 1, founders: founders.value,
+    replaceAfterMs: settings.replaceAfterMs, size, founders: founders.value !== null && founders.value.seeds.length >= Math.min(size, LEAST_FOUNDERS) ? founders.value : null,
   });
   const server = wireServer(frame);
   server.on<AskMessage>(StorePath.ask, askShape, (message) => books.answerAsk(message));
--- a/test/founding.test.ts
+++ b/test/founding.test.ts
@@ -55,6 +55,12 @@
     return callJson('PUT', `http://${this.block}.1:${PORTS.directoryAdmin}/v1/manifest`, { base: 0, manifest: lineManifest('first') }).then(({ status }) => status, () => 0);
   }
 
+  /** The disks that vote, as a directory knows them. */
+  voters(): Promise<readonly string[]> {
+    return callJson<{ readonly voters: { readonly members: readonly { readonly id: string }[] } | null }>('GET', `http://${this.block}.1:${PORTS.directoryAdmin}/v1/roster`)
+      .then(({ body }) => body.voters?.members.map(({ id }) => id) ?? [], () => []);
+  }
+
   async end(): Promise<void> {
     await Promise.all(this.daemons.flat().map((daemon) => daemon.end('SIGKILL')));
     rmSync(this.folder, { recursive: true, force: true });
@@ -85,6 +91,16 @@
   assert.ok(statuses.has(200), `only ${[...statuses].join()} within ${RECOVERY_MS} ms`);
 }));
 
+// Guards against a founder that was left out and has no vote for good: the next loss would take the majority.
+test('a core machine that the founding left out has a vote when it is back', () => withCore(async (core) => {
+  const [, , lost = []] = core.daemons;
+  await Promise.all(core.daemons.flat().filter((daemon) => !lost.includes(daemon)).map((daemon) => daemon.start()));
+  await until('a change is taken', async () => (await core.push()) === 200);
+  assert.is((await core.voters()).length, 2);
+  await Promise.all(lost.map((daemon) => daemon.start()));
+  await until('every disk has a vote', async () => (await core.voters()).length === CORES.length);
+}));
+
 // The same without the loss: what the test above asks for is possible.
 test('three core machines that start for the first time take a change', () => withCore(async (core) => {
   await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
