--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
 import { Counter, Gauge } from 'prom-client';
 import { Pollers } from '../connection/pollers.js';
@@ -15,6 +14,7 @@
 import type { MarkLog } from './markLog.js';
 import { Moment, type ToldMoment } from './moment.js';
 import { KeyOwner, type ChangeDefect } from './keyOwner.js';
+import { KeyTakeover } from './keyTakeover.js';
 import type { Membership } from './membership.js';
 import type { Frame } from './program.js';
 import { isFenced, isWithoutVote, OldRoster, voteDefect, type VoterLink } from './quorum.js';
@@ -59,7 +59,7 @@
   private readonly founding: Founding | null;
   private addresses: ReadonlyMap<DiskId, Address> = new Map();
   private readonly evidence = new CommitEvidence(OWNED_KEYS, (key) => this.serialOf(key));
-  private waitUntil: ReadonlyMap<KeyName, Instant> = new Map();
+  private readonly takeover: KeyTakeover;
   private isStopping = false;
   private isCatchingUp = false;
   private isSweeping = false;
@@ -79,6 +79,7 @@
     this.founding = rules.founders === null ? null : new Founding(rules.founders, { seed: Address.of(frame.settings.host, frame.settings.memberPort), holder, clock: frame.clock, random: Math.random, ask: (voter, key, serial, ask) => this.ask(voter, key, serial, ask) });
     this.catchUp = new CatchUp(this, holder, OWNED_KEYS, { accepted: (key) => replica.accepted(key), committedSerial: (key) => this.serialOf(key), learn: (key, entry) => this.learn({ key, entry }) });
     frame.stalls.onStall(() => this.fallBehind());
+    this.takeover = new KeyTakeover(this.owners, replica, frame.clock, frame.log);
     this.rosterOwner = this.owners.get(ROSTER_KEY) as KeyOwner;
     this.rosterKeeper = new RosterKeeper(this.rosterOwner, () => this.voters(), (spare, members) => this.store.copy(spare, members), frame.clock, rules.size, rules.replaceAfterMs);
     const owners = this.owners;
@@ -93,7 +94,7 @@
   /** Starts the duties that go on in the background. */
   start(): void {
     const every = (period: number, work: () => Promise<void>): void => repeat({ firstAfter: period, period, isOver: () => this.isStopping }, work);
-    every(100, () => this.caretake());
+    every(100, () => this.tendKeys());
     every(500, () => this.renewAll());
     every(500, () => this.meetOthers());
     every(2000, () => this.sweep());
@@ -300,32 +301,12 @@
     });
   }
 
-  /** A key that nobody holds is taken over, by the first candidate at once, by the others after a while. */
-  private async caretake(): Promise<void> {
+  /** Only a voter owns keys: one that has lost its vote hands them over, the others take over what nobody holds. */
+  private async tendKeys(): Promise<void> {
     const voters = this.voters();
     if (voters === null || this.isStopping) return;
-    if (!voters.members.some((member) => member.id === this.replica.id)) return this.handAllOver();
-    for (const [key, owner] of this.owners) {
-      const now = this.frame.clock.now();
-      if (owner.serving || this.replica.grantOf(key) !== null || now < (this.waitUntil.get(key) ?? 0)) {
-        if (!owner.serving && this.replica.grantOf(key) !== null) this.setWait(key, this.backOff(key, voters, 1));
-        continue;
-      }
-      this.setWait(key, this.backOff(key, voters, 2));
-      const taken = await owner.takeOver();
-      this.frame.log.info({ event: 'take-over', key, epoch: owner.epoch, outcome: taken.match(() => 'done', (defect) => defect.describe()) });
-    }
-  }
-
-  private setWait(key: KeyName, length: number): void {
-    this.waitUntil = new Map([...this.waitUntil, [key, (this.frame.clock.now() + length) as Instant]]);
-  }
-
-  private backOff(key: KeyName, voters: Voters, turns: number): number {
-    const weight = (id: DiskId): string => createHash('sha256').update(`${key}/${id}`).digest('hex');
-    const ranked = [...voters.members].sort((one, other) => (weight(one.id) < weight(other.id) ? -1 : 1));
-    const place = ranked.findIndex((member) => member.id === this.replica.id);
-    return (place + turns - 1) * 100 + Math.random() * 100;
+    if (isWithoutVote(this.replica.id, voters)) await this.handAllOver();
+    else await this.takeover.tend(voters.members);
   }
 
   private async renewAll(): Promise<void> {
