Nobody founds beside a disk that knows of a roster

What callers saw: where nobody says whether this is the first start, two disks of three were emptied and all processes started again: the first manifest was taken anew (200), a second history beside the disk that has the first. Cause: the founders' majority was asked before it was looked whether one that answers knows of a roster.

--- a/src/process/bookkeeper.ts
+++ b/src/process/bookkeeper.ts
@@ -313,7 +313,7 @@
     await Promise.all([...this.owners.values()].filter((owner) => owner.serving).map((owner) => owner.renew()));
   }
 
-  /** Learns where the disks are; a founder that knows of no roster takes part in the founding of the first one. */
+  /** Learns where the disks are; a founder takes part in the founding when none that answers knows of a roster. */
   private async meetOthers(): Promise<void> {
     const met = await Promise.all(this.membership.having('ratebook').map(async (member) => {
       const own = member.boot === this.frame.boot;
@@ -329,6 +329,8 @@
     if (this.voters() !== null) return this.tendRoster();
     const named = present.find(({ voters }) => voters !== null && voters.serial === 1 && voters.members.some((member) => member.id === this.replica.id));
     if (named?.voters) return this.found(named.voters.members);
+    const isFounded = present.some(({ voters }) => voters !== null);
+    if (isFounded) return;
     const founders = present.filter(({ isFounder }) => isFounder === true).map(({ id, member }): PresentFounder => ({ seed: member.member, member: { id, address: member.wire } }));
     const agreed = await this.founding?.settle(founders);
     if (agreed?.some(({ id }) => id === this.replica.id)) await this.found(agreed);
--- a/test/founding.test.ts
+++ b/test/founding.test.ts
@@ -19,25 +19,26 @@
 class FreshCore {
   daemons: readonly (readonly Daemon[])[];
 
-  private constructor(private readonly block: string, private readonly folder: string) {
-    this.daemons = this.processes(CORES, true);
+  private constructor(private readonly block: string, private readonly folder: string, isFirst: boolean | null) {
+    this.daemons = this.processes(CORES, isFirst);
   }
 
-  /** The processes of every core machine, with the seeds that are told them and whether this is the first start. */
-  processes(seedNumbers: readonly number[], isFirst: boolean): readonly (readonly Daemon[])[] {
+  /** The processes of every core machine, with the seeds that are told them and whether this is the first start, which may be left unsaid. */
+  processes(seedNumbers: readonly number[], isFirst: boolean | null): readonly (readonly Daemon[])[] {
     const seeds = seedNumbers.flatMap((number) => ['--seed', `${this.block}.${number}:${PORTS.ratebookMember}`]);
     return CORES.map((number) => {
       const host = `${this.block}.${number}`;
       const place = ['--node', `core${number}`, '--zone', 'zone1', '--host', host, '--cluster', this.block, ...seeds];
-      const store = ['--data-folder', join(this.folder, `core${number}`), '--losses', '1', '--may-found', String(isFirst)];
+      const firstStart = isFirst === null ? [] : ['--may-found', String(isFirst)];
+      const store = ['--data-folder', join(this.folder, `core${number}`), '--losses', '1', ...firstStart];
       return [new Daemon('ratebook', [...place, ...store], `${host}:${PORTS.ratebookAdmin}`), new Daemon('directory', place, `${host}:${PORTS.directoryAdmin}`)];
     });
   }
 
   /** Ends every process with its disk kept, and starts them again as one does at every later start. */
-  async killAndRestart(seedNumbers: readonly number[]): Promise<void> {
+  async killAndRestart(seedNumbers: readonly number[], isFirst: boolean | null = false): Promise<void> {
     await Promise.all(this.daemons.flat().map((daemon) => daemon.end('SIGKILL')));
-    this.daemons = this.processes(seedNumbers, false);
+    this.daemons = this.processes(seedNumbers, isFirst);
     await Promise.all(this.daemons.flat().map((daemon) => daemon.start()));
   }
 
@@ -46,8 +47,8 @@
     rmSync(join(this.folder, `core${number}`), { recursive: true, force: true });
   }
 
-  static async make(): Promise<FreshCore> {
-    return new FreshCore(await freeBlock(), mkdtempSync(join(tmpdir(), 'opalstair-founding-')));
+  static async make(isFirst: boolean | null): Promise<FreshCore> {
+    return new FreshCore(await freeBlock(), mkdtempSync(join(tmpdir(), 'opalstair-founding-')), isFirst);
   }
 
   /** Pushes the first manifest; the status of the answer, 0 when none came. */
@@ -68,8 +69,8 @@
 }
 
 /** Runs a body on a core that has never run before, and ends it. */
-const withCore = async (body: (core: FreshCore) => Promise<void>): Promise<void> => {
-  const core = await FreshCore.make();
+const withCore = async (body: (core: FreshCore) => Promise<void>, isFirst: boolean | null = true): Promise<void> => {
+  const core = await FreshCore.make(isFirst);
   try {
     await body(core);
   } finally {
@@ -77,6 +78,17 @@
   }
 };
 
+/** No change is taken for as long as a founding could take. */
+const foundsNothing = async (core: FreshCore): Promise<void> => {
+  const startedAt = performance.now();
+  const statuses = new Set<number>();
+  await until('the founders had time enough', async () => {
+    statuses.add(await core.push());
+    return performance.now() - startedAt > FOUNDING_MS;
+  });
+  assert.not(statuses.has(200), [...statuses].join());
+};
+
 // Guards against a first start that waits for a core machine which was lost in its first second and does not come back.
 test('a core machine that is lost as soon as it listens holds up no change', () => withCore(async (core) => {
   const [, , lost = []] = core.daemons;
@@ -121,13 +133,18 @@
   await Promise.all(core.daemons.flat().map((daemon) => daemon.end('SIGKILL')));
   CORES.forEach((number) => core.wipe(number));
   await core.killAndRestart(CORES);
-  const startedAt = performance.now();
-  const statuses = new Set<number>();
-  await until('the founders had time enough', async () => {
-    statuses.add(await core.push());
-    return performance.now() - startedAt > FOUNDING_MS;
-  });
-  assert.not(statuses.has(200), [...statuses].join());
+  await foundsNothing(core);
 }));
 
+// Guards against a majority of empty disks that founds a second history beside a disk that has the first, where nobody says whether this is the first start.
+test('two empty disks found nothing beside a third that knows the mesh', () => withCore(async (core) => {
+  await Promise.all(core.daemons.flat().map((daemon) => daemon.start()));
+  await until('a change is taken', async () => (await core.push()) === 200);
+  await Promise.all(core.daemons.flat().map((daemon) => daemon.end('SIGKILL')));
+  core.wipe(1);
+  core.wipe(2);
+  await core.killAndRestart(CORES, null);
+  await foundsNothing(core);
+}, null));
+
 run();
--- a/test/foundingWorld.ts
+++ b/test/foundingWorld.ts
@@ -149,6 +149,7 @@
     const heard = this.places.filter((other) => !other.isDown && (other === place || this.chance.happens(0.95)));
     const named = heard.find(({ disk }) => disk.roster?.some(({ id }) => id === place.disk.id) === true);
     if (named?.disk.roster) return this.found(place, named.disk.roster);
+    if (heard.some(({ disk }) => disk.roster !== null)) return;
     const present = heard.filter(({ disk }) => disk.isFounder).map(({ seed, disk }): PresentFounder => ({ seed, member: { id: disk.id, address: seed } }));
     place.isSettling = true;
     void place.founding.settle(present).then((agreed) => {
